Workspace, boundaries, settings, events and metrics

Cause: an empty repository. Before: nothing. Conclusion: the modules can be developed in parallel against these headers.

--- /dev/null
+++ b/packages/ctl/src/main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
--- /dev/null
+++ b/packages/kernel/include/kernel/admission.h
@@ -0,0 +1,77 @@
+/// \file
+/// Queues and slots of one upstream: which statement runs next and which is
+/// refused.
+
+#ifndef EELGRASSLOOM_KERNEL_ADMISSION_H
+#define EELGRASSLOOM_KERNEL_ADMISSION_H
+
+#include "kernel/model.h"
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <vector>
+
+namespace eelgrassloom {
+
+/// Identifies a statement inside the owner of an upstream.
+using TicketId = std::uint64_t;
+
+struct Ticket {
+  TicketId Id = 0;
+  Priority WorkPriority = Priority::Normal;
+  Instant Enqueued;
+  /// Latest instant at which starting is still useful.
+  Instant Deadline;
+};
+
+struct AdmissionOptions {
+  PriorityShares Shares = {60, 25, 15};
+  /// Statements that may wait, by priority.
+  std::array<std::size_t, PriorityCount> QueueLimit = {256, 256, 256};
+};
+
+/// State of one upstream's queues.
+struct AdmissionState {
+  AdmissionOptions Options;
+  /// Statements that may run at the same time.
+  unsigned Limit = 1;
+  unsigned InFlight = 0;
+  std::array<unsigned, PriorityCount> InFlightByPriority{};
+  std::array<std::deque<Ticket>, PriorityCount> Queues;
+  /// Service time received, divided by the share; the level with the lowest
+  /// value is served next.
+  std::array<double, PriorityCount> VirtualTime{};
+  /// Virtual time of the last start.
+  double VirtualNow = 0;
+  /// Moving average of the service time, by priority; zero until the first
+  /// finish.
+  std::array<Duration, PriorityCount> ServiceTime{};
+};
+
+enum class AdmissionResult : std::uint8_t { Queued, QueueFull, TooLate };
+
+/// Outcome of a queue pass.
+struct AdmissionActions {
+  std::vector<TicketId> Start;
+  /// Deadline passed while waiting; never started.
+  std::vector<TicketId> Expire;
+};
+
+/// Plug-in: a priority policy.
+struct PriorityPolicy {
+  /// Puts a ticket into its queue, or refuses it at the door.
+  AdmissionResult (*Offer)(AdmissionState &S, const Ticket &T, Instant Now);
+  /// Picks the tickets to start while there are free slots.
+  AdmissionActions (*Pump)(AdmissionState &S, Instant Now);
+  /// Returns the slot of a started ticket.
+  void (*Finish)(AdmissionState &S, Priority P, Duration Service, Instant Now);
+  /// Expected wait of a new ticket.
+  Duration (*ExpectedWait)(const AdmissionState &S, Priority P);
+};
+
+/// Removes a waiting ticket; false if it is not in a queue.
+bool cancel(AdmissionState &S, Priority P, TicketId Id);
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_ADMISSION_H
--- /dev/null
+++ b/packages/kernel/include/kernel/position.h
@@ -0,0 +1,50 @@
+/// \file
+/// Log positions and the history of terms of a database.
+
+#ifndef EELGRASSLOOM_KERNEL_POSITION_H
+#define EELGRASSLOOM_KERNEL_POSITION_H
+
+#include <compare>
+#include <cstdint>
+#include <vector>
+
+namespace eelgrassloom {
+
+/// A log entry, named by the term that wrote it and its index from 1. Ordered
+/// by term, then index: the order in which logs compare in a promotion.
+struct Position {
+  std::uint64_t Term = 0;
+  std::uint64_t Index = 0;
+
+  auto operator<=>(const Position &) const = default;
+};
+
+/// A term and the index after which its entries follow.
+struct TermStart {
+  std::uint64_t Term = 0;
+  std::uint64_t Start = 0;
+
+  bool operator==(const TermStart &) const = default;
+};
+
+/// Terms of one log line in rising order of term and start.
+using History = std::vector<TermStart>;
+
+enum class Lineage : std::uint8_t {
+  /// The position is part of this line, or may still become part of it.
+  OnLine,
+  /// A later term branched off before the position: the entry was lost.
+  Lost,
+  /// The line ends before the term of the position: the reader is behind.
+  NotYet,
+};
+
+/// Relation of a position to a line. The zero position is on every line.
+Lineage lineage(const History &Line, Position P);
+
+/// True if a log on \p Line that has applied \p Applied contains \p P.
+bool contains(const History &Line, Position Applied, Position P);
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_POSITION_H
--- /dev/null
+++ b/packages/kernel/include/kernel/result.h
@@ -0,0 +1,65 @@
+/// \file
+/// A value or the findings that prevented it.
+
+#ifndef EELGRASSLOOM_KERNEL_RESULT_H
+#define EELGRASSLOOM_KERNEL_RESULT_H
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace eelgrassloom {
+
+/// One thing that is wrong with an input.
+struct Finding {
+  /// Flag, variable, key or path of the input.
+  std::string Place;
+  std::string Value;
+  std::string Allowed;
+
+  bool operator==(const Finding &Other) const = default;
+};
+
+/// Formats findings one per line.
+std::string toString(const std::vector<Finding> &Findings);
+
+/// Either a value or at least one finding.
+template <class T> class Result {
+public:
+  static Result success(T Value) { return Result(std::move(Value)); }
+  static Result failure(std::vector<Finding> Findings) {
+    return Result(std::move(Findings));
+  }
+
+  bool ok() const { return State.index() == 0; }
+  explicit operator bool() const { return ok(); }
+
+  /// Throws std::runtime_error with the findings if there is no value.
+  const T &value() const & {
+    check();
+    return std::get<0>(State);
+  }
+  T &&value() && {
+    check();
+    return std::move(std::get<0>(State));
+  }
+  const std::vector<Finding> &findings() const { return std::get<1>(State); }
+
+private:
+  explicit Result(T Value) : State(std::in_place_index<0>, std::move(Value)) {}
+  explicit Result(std::vector<Finding> Findings)
+      : State(std::in_place_index<1>, std::move(Findings)) {}
+
+  void check() const {
+    if (!ok())
+      throw std::runtime_error(toString(findings()));
+  }
+
+  std::variant<T, std::vector<Finding>> State;
+};
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_RESULT_H
--- /dev/null
+++ b/packages/kernel/include/kernel/time.h
@@ -0,0 +1,33 @@
+/// \file
+/// Time as the kernel sees it. The kernel never reads a clock; every function
+/// that depends on time receives the current instant.
+
+#ifndef EELGRASSLOOM_KERNEL_TIME_H
+#define EELGRASSLOOM_KERNEL_TIME_H
+
+#include <chrono>
+
+namespace eelgrassloom {
+
+using Duration = std::chrono::nanoseconds;
+
+/// Tag of the monotonic time line of one process.
+struct ProcessClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<ProcessClock, Duration>;
+};
+
+/// A point on the monotonic time line of one process. Instants of different
+/// processes can't be compared.
+using Instant = ProcessClock::time_point;
+
+/// Whole milliseconds of a duration, rounded down.
+constexpr long long toMillis(Duration D) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(D).count();
+}
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_TIME_H
--- /dev/null
+++ b/packages/proxy/include/proxy/observer.h
@@ -0,0 +1,34 @@
+/// \file
+/// What the data path reports to the control thread. Calls never block.
+
+#ifndef EELGRASSLOOM_PROXY_OBSERVER_H
+#define EELGRASSLOOM_PROXY_OBSERVER_H
+
+#include "kernel/model.h"
+#include "proxy/upstream.h"
+#include <functional>
+#include <string>
+
+namespace eelgrassloom {
+
+/// Callbacks into the control thread's inbox.
+struct Observer {
+  /// An upstream answered on any connection.
+  std::function<void(const std::string &Database, const UpstreamStatus &)>
+      StatusSeen;
+  /// A new connection to an upstream was attempted.
+  std::function<void(const UpstreamId &, bool Opened)> ConnectionAttempted;
+};
+
+/// What the control thread asks of the data path about owned upstreams.
+struct OwnedUpstream {
+  UpstreamId Id;
+  std::string Database;
+  unsigned Connections = 0;
+  unsigned InFlight = 0;
+  unsigned Queued = 0;
+};
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_PROXY_OBSERVER_H
--- /dev/null
+++ b/packages/proxy/src/snapshot.cpp
@@ -0,0 +1,1 @@
+#include "proxy/snapshot.h"
--- /dev/null
+++ b/packages/runtime/test/events-test.cpp
@@ -0,0 +1,38 @@
+#include "runtime/events.h"
+#include <doctest/doctest.h>
+#include <fstream>
+#include <sstream>
+
+using namespace eelgrassloom;
+
+// Guards against a catalogue that differs from the code.
+TEST_CASE("docs/EVENTS.md lists exactly the events of the code") {
+  std::ifstream In(EELGRASSLOOM_SOURCE_DIR "/docs/EVENTS.md");
+  REQUIRE(In.good());
+  std::vector<std::string> Rows;
+  for (std::string Line; std::getline(In, Line);)
+    if (Line.rfind("| E", 0) == 0)
+      Rows.push_back(Line);
+  static const char *const Levels[] = {"debug", "info", "warning", "error"};
+  REQUIRE(Rows.size() == eventCatalogue().size());
+  std::size_t I = 0;
+  for (const EventKind &K : eventCatalogue()) {
+    std::ostringstream Want;
+    Want << "| E" << K.Number << " | " << K.Name << " | "
+         << Levels[static_cast<std::size_t>(K.Level)] << " | " << K.Meaning
+         << " |";
+    CHECK(Rows[I++] == Want.str());
+  }
+}
+
+// Guards against an unbounded ring buffer and against lost filters.
+TEST_CASE("the ring keeps the latest events and filters them") {
+  auto Log = EventLog::create(Clock::paused(), 3);
+  for (int I = 0; I < 5; ++I)
+    Log->record(events::RequestRefused,
+                {"db", "", "r" + std::to_string(I), "", ""}, "queue full");
+  CHECK(Log->select({}).size() == 3);
+  CHECK(Log->select({"", "r4", "", "", 10}).size() == 1);
+  CHECK(Log->select({"", "r0", "", "", 10}).empty());
+  CHECK(Log->select({"db", "", "", "", 2}).front().Subject.RequestId == "r3");
+}
--- /dev/null
+++ b/scripts/build.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Usage: scripts/build.sh [DIRECTORY [SANITIZERS]]; builds all targets.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
+cmake -S . -B "${1:-build}" -G Ninja -DEELGRASSLOOM_SANITIZE="${2:-}" >/dev/null
+cmake --build "${1:-build}" | grep -vE '^\[|^ninja: no work' || true
+cmake --build "${1:-build}" >/dev/null
