--- a/packages/kernel/include/kernel/admission.h
+++ b/packages/kernel/include/kernel/admission.h
@@ -43,6 +43,8 @@
   std::array<double, PriorityCount> VirtualTime{};
   /// Virtual time of the last start.
   double VirtualNow = 0;
+  /// Estimated service time charged for the statements that run.
+  std::array<Duration, PriorityCount> Charged{};
   /// Moving average of the service time, by priority; zero until the first
   /// finish.
   std::array<Duration, PriorityCount> ServiceTime{};
