--- a/packages/kernel/include/kernel/position.h
+++ b/packages/kernel/include/kernel/position.h
@@ -16,7 +16,10 @@
   std::uint64_t Term = 0;
   std::uint64_t Index = 0;
 
-  auto operator<=>(const Position &) const = default;
+  bool operator==(const Position &) const = default;
+  constexpr std::strong_ordering operator<=>(const Position &Other) const {
+    return Term != Other.Term ? Term <=> Other.Term : Index <=> Other.Index;
+  }
 };
 
 /// A term and the index after which its entries follow.
--- a/packages/kernel/include/kernel/routing.h
+++ b/packages/kernel/include/kernel/routing.h
@@ -16,8 +16,10 @@
   std::string FailureDomain;
   Role UpstreamRole = Role::Unknown;
   Position Applied;
+  /// For the primary, the newer of its own line and that of the group record.
   History Line;
-  /// When Applied was reported.
+  /// When the exchange that reported Applied was sent; the time of the answer
+  /// would understate the staleness.
   Instant ObservedAt;
   /// Upper bound of the staleness at ObservedAt; the bound grows with time.
   Duration Staleness = Duration::max();
