Add history checkers for the guarantees

Cause: the guarantees are to be verified on recorded concurrent runs. Before: no checker. Conclusion: scenarios can record into this form.

--- /dev/null
+++ b/tests/fleet/history-test.cpp
@@ -0,0 +1,125 @@
+#include "history.h"
+#include <doctest/doctest.h>
+
+using namespace eelgrassloom;
+
+namespace {
+
+Operation append(unsigned Session, std::string Value, std::int64_t At) {
+  Operation Op;
+  Op.Session = Session;
+  Op.Kind = Action::Append;
+  Op.Database = "orders";
+  Op.Key = "k";
+  Op.Value = Value;
+  Op.RequestId = Op.AnsweredId = "id-" + Value;
+  Op.Replicated = true;
+  Op.Outcome = Verdict::Ok;
+  Op.List = {std::move(Value)};
+  Op.At = {1, 1};
+  Op.InvokedMicros = At;
+  Op.ReturnedMicros = At + 10;
+  return Op;
+}
+
+Operation read(unsigned Session, std::vector<std::string> List,
+               std::int64_t At) {
+  Operation Op = append(Session, "", At);
+  Op.Kind = Action::Read;
+  Op.List = std::move(List);
+  Op.RequestId = Op.AnsweredId = "read";
+  return Op;
+}
+
+FullHistory clean() {
+  FullHistory H;
+  H.Operations = {append(1, "a", 0), read(1, {"a"}, 100)};
+  H.Logs = {{"orders", {{{1, 1}, "id-a", {"a"}}}}};
+  return H;
+}
+
+} // namespace
+
+// Guards against checkers that report correct histories.
+TEST_CASE("a correct history has no violations") {
+  CHECK(checkAll(clean()).empty());
+}
+
+// Guards against a read-your-writes checker that accepts a stale read.
+TEST_CASE("a session that misses its own write is reported") {
+  FullHistory H = clean();
+  H.Operations[1].List = {};
+  CHECK(checkReadYourWrites(H).size() == 1);
+  Operation Lost = read(1, {}, 50);
+  Lost.Outcome = Verdict::PositionLost;
+  H.Operations.insert(H.Operations.begin() + 1, Lost);
+  CHECK(checkReadYourWrites(H).empty());
+}
+
+// Guards against a duplicate run that stays unnoticed.
+TEST_CASE("a value that ran twice is reported") {
+  FullHistory H = clean();
+  H.Logs[0].Entries.push_back({{1, 2}, "id-a", {"a"}});
+  CHECK(checkAtMostOnce(H).size() == 1);
+}
+
+// Guards against an acknowledged write that a promotion loses.
+TEST_CASE("a lost replicated write is reported") {
+  FullHistory H = clean();
+  H.Logs[0].Entries.clear();
+  CHECK(checkDurable(H).size() == 1);
+}
+
+// Guards against an acknowledgement from a replaced primary.
+TEST_CASE("an acknowledgement after a raised term is reported") {
+  FullHistory H = clean();
+  H.Raises = {{"orders", 2, -5}};
+  CHECK(checkFenced(H).size() == 1);
+  H.Raises = {{"orders", 2, 5}};
+  CHECK(checkFenced(H).empty());
+}
+
+// Guards against swapped answers.
+TEST_CASE("an answer to another request is reported") {
+  FullHistory H = clean();
+  H.Operations[0].AnsweredId = "id-b";
+  H.Operations[0].List = {"a", "b"};
+  CHECK(checkAnswers(H).size() == 2);
+}
+
+// Guards against a refusal of a write that did run.
+TEST_CASE("a refused write in the log is reported") {
+  FullHistory H = clean();
+  H.Operations[0].Outcome = Verdict::Refused;
+  CHECK(checkNotRun(H).size() == 1);
+}
+
+// Guards against mixed and partial transactions.
+TEST_CASE("mixed or partial transactions are reported") {
+  FullHistory H;
+  for (const char *Value : {"t1-a", "t1-b", "t2-a"}) {
+    Operation Op = append(1, Value, 0);
+    Op.Transaction = std::string(Value, 2);
+    H.Operations.push_back(Op);
+  }
+  H.Logs = {
+      {"orders", {{{1, 1}, "t1", {"t1-a", "t2-a"}}, {{1, 2}, "t1", {"t1-b"}}}}};
+  CHECK(checkTransactions(H).size() == 2);
+}
+
+// Guards against reads beyond their staleness bound.
+TEST_CASE("a read beyond its staleness bound is reported") {
+  FullHistory H = clean();
+  H.Operations[1] = read(2, {}, 1000);
+  H.Operations[1].StalenessMicros = 500;
+  CHECK(checkStaleness(H).size() == 1);
+  H.Operations[1].StalenessMicros = 2000;
+  CHECK(checkStaleness(H).empty());
+}
+
+// Guards against a configuration that reverts.
+TEST_CASE("an older configuration version is reported") {
+  FullHistory H;
+  H.Versions = {{"p1", 3}, {"p2", 1}, {"p1", 2}};
+  CHECK(checkVersions(H).size() == 1);
+}
--- /dev/null
+++ b/tests/fleet/history.cpp
@@ -0,0 +1,209 @@
+#include "history.h"
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace eelgrassloom {
+namespace detail {
+
+std::string describe(const Operation &Op) {
+  return "session " + std::to_string(Op.Session) + " request " + Op.RequestId +
+         " on " + Op.Database + "/" + Op.Key;
+}
+
+bool has(const std::vector<std::string> &List, const std::string &Value) {
+  return std::find(List.begin(), List.end(), Value) != List.end();
+}
+
+/// Number of log entries that hold each value.
+std::map<std::string, int> occurrences(const FullHistory &H) {
+  std::map<std::string, int> Count;
+  for (const FinalLog &Log : H.Logs)
+    for (const LogEntry &Entry : Log.Entries)
+      for (const std::string &Value : Entry.Values)
+        ++Count[Value];
+  return Count;
+}
+
+/// Operations ordered by session, then by start.
+std::vector<const Operation *> bySession(const FullHistory &H) {
+  std::vector<const Operation *> Ops;
+  for (const Operation &Op : H.Operations)
+    Ops.push_back(&Op);
+  std::stable_sort(Ops.begin(), Ops.end(), [](auto *A, auto *B) {
+    return std::tie(A->Session, A->InvokedMicros) <
+           std::tie(B->Session, B->InvokedMicros);
+  });
+  return Ops;
+}
+
+} // namespace detail
+
+Violations checkReadYourWrites(const FullHistory &H) {
+  Violations Out;
+  // Values that each (session, database, key) must see.
+  std::map<std::tuple<unsigned, std::string, std::string>,
+           std::set<std::string>>
+      Seen;
+  for (const Operation *Op : detail::bySession(H)) {
+    if (Op->Outcome == Verdict::PositionLost) {
+      for (auto &[Place, Values] : Seen)
+        if (std::get<0>(Place) == Op->Session &&
+            std::get<1>(Place) == Op->Database)
+          Values.clear();
+      continue;
+    }
+    if (Op->Outcome != Verdict::Ok || !Op->Transaction.empty())
+      continue;
+    auto &Values = Seen[{Op->Session, Op->Database, Op->Key}];
+    for (const std::string &Value : Values)
+      if (!detail::has(Op->List, Value))
+        Out.push_back(detail::describe(*Op) + " does not see " + Value);
+    Values.insert(Op->List.begin(), Op->List.end());
+    if (Op->Kind == Action::Append)
+      Values.insert(Op->Value);
+  }
+  return Out;
+}
+
+Violations checkAtMostOnce(const FullHistory &H) {
+  Violations Out;
+  for (const auto &[Value, Count] : detail::occurrences(H))
+    if (Count > 1)
+      Out.push_back(Value + " ran " + std::to_string(Count) + " times");
+  return Out;
+}
+
+Violations checkDurable(const FullHistory &H) {
+  Violations Out;
+  auto Count = detail::occurrences(H);
+  for (const Operation &Op : H.Operations)
+    if (Op.Kind == Action::Append && Op.Replicated &&
+        Op.Outcome == Verdict::Ok && Count[Op.Value] == 0)
+      Out.push_back(detail::describe(Op) + ": acknowledged " + Op.Value +
+                    " is lost");
+  return Out;
+}
+
+Violations checkFenced(const FullHistory &H) {
+  Violations Out;
+  for (const Operation &Op : H.Operations) {
+    if (Op.Kind != Action::Append || Op.Outcome != Verdict::Ok)
+      continue;
+    for (const TermRaise &Raise : H.Raises)
+      if (Raise.Database == Op.Database && Raise.Term > Op.At.Term &&
+          Op.At.Term != 0 && Raise.AtMicros < Op.InvokedMicros)
+        Out.push_back(detail::describe(Op) + " was acknowledged in term " +
+                      std::to_string(Op.At.Term) + " after term " +
+                      std::to_string(Raise.Term) + " was raised");
+  }
+  return Out;
+}
+
+Violations checkAnswers(const FullHistory &H) {
+  Violations Out;
+  for (const Operation &Op : H.Operations) {
+    if (!Op.AnsweredId.empty() && Op.AnsweredId != Op.RequestId)
+      Out.push_back(detail::describe(Op) + " got the answer of " +
+                    Op.AnsweredId);
+    if (Op.Outcome == Verdict::Ok && Op.Kind == Action::Append &&
+        (Op.List.empty() || Op.List.back() != Op.Value))
+      Out.push_back(detail::describe(Op) + " got a list that does not end in " +
+                    Op.Value);
+  }
+  return Out;
+}
+
+Violations checkNotRun(const FullHistory &H) {
+  Violations Out;
+  auto Count = detail::occurrences(H);
+  // A value whose first try was refused may run in a later try.
+  std::set<std::string> MayRun;
+  for (const Operation &Op : H.Operations)
+    if (Op.Outcome == Verdict::Ok || Op.Outcome == Verdict::Unknown)
+      MayRun.insert(Op.Value);
+  for (const Operation &Op : H.Operations)
+    if ((Op.Outcome == Verdict::Refused || Op.Outcome == Verdict::Failed ||
+         Op.Outcome == Verdict::PositionLost) &&
+        !Op.Value.empty() && Op.Transaction.empty() &&
+        MayRun.count(Op.Value) == 0 && Count[Op.Value] > 0)
+      Out.push_back(detail::describe(Op) + " was answered as not run, but " +
+                    Op.Value + " is in the log");
+  return Out;
+}
+
+Violations checkTransactions(const FullHistory &H) {
+  Violations Out;
+  std::map<std::string, std::string> TransactionOf;
+  std::map<std::string, std::size_t> Size;
+  for (const Operation &Op : H.Operations) {
+    if (Op.Transaction.empty() || Op.Kind != Action::Append ||
+        Op.Outcome != Verdict::Ok)
+      continue;
+    TransactionOf[Op.Value] = Op.Transaction;
+    ++Size[Op.Transaction];
+  }
+  for (const FinalLog &Log : H.Logs)
+    for (const LogEntry &Entry : Log.Entries) {
+      std::set<std::string> Names;
+      for (const std::string &Value : Entry.Values)
+        Names.insert(TransactionOf.count(Value) ? TransactionOf[Value]
+                                                : "single " + Value);
+      if (Names.size() > 1)
+        Out.push_back(Log.Database + " entry " +
+                      std::to_string(Entry.At.Index) + " mixes " +
+                      *Names.begin() + " and " + *Names.rbegin());
+      else if (Names.size() == 1 && Size.count(*Names.begin()) &&
+               Size[*Names.begin()] > Entry.Values.size())
+        Out.push_back(Log.Database + " entry " +
+                      std::to_string(Entry.At.Index) +
+                      " holds only a part of " + *Names.begin());
+    }
+  return Out;
+}
+
+Violations checkStaleness(const FullHistory &H) {
+  Violations Out;
+  auto Count = detail::occurrences(H);
+  for (const Operation &Read : H.Operations) {
+    if (Read.Kind != Action::Read || Read.Outcome != Verdict::Ok ||
+        Read.StalenessMicros == 0 || !Read.Transaction.empty())
+      continue;
+    for (const Operation &Write : H.Operations)
+      if (Write.Kind == Action::Append && Write.Outcome == Verdict::Ok &&
+          Write.Transaction.empty() && Write.Database == Read.Database &&
+          Write.Key == Read.Key &&
+          Write.ReturnedMicros < Read.InvokedMicros - Read.StalenessMicros &&
+          Count[Write.Value] > 0 && !detail::has(Read.List, Write.Value))
+        Out.push_back(detail::describe(Read) + " misses " + Write.Value +
+                      " beyond its staleness bound");
+  }
+  return Out;
+}
+
+Violations checkVersions(const FullHistory &H) {
+  Violations Out;
+  std::map<std::string, std::uint64_t> Last;
+  for (const VersionSample &Sample : H.Versions) {
+    std::uint64_t &Version = Last[Sample.ProxyLife];
+    if (Sample.Version < Version)
+      Out.push_back(Sample.ProxyLife + " went from configuration " +
+                    std::to_string(Version) + " back to " +
+                    std::to_string(Sample.Version));
+    Version = std::max(Version, Sample.Version);
+  }
+  return Out;
+}
+
+Violations checkAll(const FullHistory &H) {
+  Violations Out;
+  for (auto *Check : {checkReadYourWrites, checkAtMostOnce, checkDurable,
+                      checkFenced, checkAnswers, checkNotRun, checkTransactions,
+                      checkStaleness, checkVersions}) {
+    Violations Found = Check(H);
+    Out.insert(Out.end(), Found.begin(), Found.end());
+  }
+  return Out;
+}
+
+} // namespace eelgrassloom
