--- /dev/null
+++ b/packages/kernel/include/kernel/membership.h
@@ -0,0 +1,223 @@
+/// \file
+/// SWIM membership: randomised probes, indirect probes, suspicion and
+/// refutation, updates piggybacked on probe messages.
+
+#ifndef EELGRASSLOOM_KERNEL_MEMBERSHIP_H
+#define EELGRASSLOOM_KERNEL_MEMBERSHIP_H
+
+#include "kernel/model.h"
+#include "kernel/ownership.h"
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace eelgrassloom {
+
+enum class MemberState : std::uint8_t {
+  /// In an update of a proxy about itself: it does not know the fleet yet and
+  /// asks for the view. Otherwise the same as Alive.
+  Joining,
+  Alive,
+  Suspect,
+  Dead,
+  /// Alive, finishes its work, takes no new work.
+  Leaving,
+};
+inline constexpr std::array<std::string_view, 5> MemberStateNames = {
+    "joining", "alive", "suspect", "dead", "leaving"};
+constexpr std::string_view name(MemberState S) {
+  return MemberStateNames[static_cast<std::size_t>(S)];
+}
+
+/// What messages say about a member.
+struct MemberUpdate {
+  ProxyId Id;
+  /// IP:port of the peer socket.
+  std::string Address;
+  std::string FailureDomain;
+  std::string OperatorAddress;
+  MemberState State = MemberState::Alive;
+  std::uint64_t Incarnation = 0;
+
+  bool operator==(const MemberUpdate &) const = default;
+};
+
+struct MembershipOptions {
+  Duration ProbeInterval = std::chrono::milliseconds(500);
+  /// Wait for an ack before indirect probes start.
+  Duration ProbeTimeout = std::chrono::milliseconds(150);
+  unsigned IndirectProbes = 3;
+  /// Smallest suspicion time is this times log10(members) probe intervals.
+  double SuspicionMultiplier = 3;
+  /// Largest suspicion time as a multiple of the smallest; independent
+  /// suspicions shorten it.
+  double SuspicionSpread = 3;
+  unsigned SuspicionConfirmations = 2;
+  /// Transmissions of one update are this times log2(members).
+  double RetransmitMultiplier = 2;
+  /// Bytes of piggybacked updates in one message.
+  std::size_t UpdateBytes = 700;
+  /// Bytes of updates in the answer to a join request.
+  std::size_t JoinBytes = 12 * 1024;
+  /// Least time between two full answers to join requests.
+  Duration JoinAnswerInterval = std::chrono::seconds(1);
+  /// Random delay before the first join request.
+  Duration JoinJitter = std::chrono::milliseconds(200);
+  Duration JoinInterval = std::chrono::milliseconds(250);
+  /// Joining ends after this many requests even if members stay unknown.
+  unsigned JoinRequests = 40;
+  /// One in this many probes goes to another failure domain.
+  unsigned RemoteProbeEvery = 4;
+  /// Interval at which one dead member is contacted again; while that
+  /// succeeds, the next one follows without delay.
+  Duration DeadRetryInterval = std::chrono::seconds(5);
+  /// Dead members are forgotten after this time.
+  Duration DeadRetention = std::chrono::hours(1);
+  unsigned MaxLocalHealth = 8;
+  /// A gap between ticks above this is a pause of this process.
+  Duration PauseLimit = std::chrono::milliseconds(600);
+};
+
+struct Member {
+  MemberUpdate About;
+  Instant Since;
+  /// When a suspect becomes dead.
+  Instant SuspectUntil;
+  std::vector<ProxyId> Suspecters;
+  /// Announced that it is leaving; survives a suspicion.
+  bool Leaving = false;
+};
+
+namespace detail {
+
+struct Probe {
+  ProxyId Target;
+  Instant IndirectAt;
+  Instant FailAt;
+  bool IndirectSent = false;
+  bool Retry = false;
+};
+
+/// A probe sent for another proxy.
+struct RelayedProbe {
+  ProxyId Requester;
+  std::string RequesterAddress;
+  std::uint64_t ExchangeId = 0;
+  Instant Until;
+};
+
+} // namespace detail
+
+struct MembershipState {
+  MembershipOptions Options;
+  MemberUpdate Self;
+  /// Other proxies of every state.
+  std::map<ProxyId, Member, std::less<>> Members;
+  /// Addresses known before any contact: settings and host list.
+  std::vector<MemberUpdate> Seeds;
+  bool Joined = false;
+  unsigned JoinRequestsLeft = 0;
+  unsigned QuietJoinAnswers = 0;
+  Instant NextJoin;
+  Instant LastJoinAnswer;
+  Instant LastTick;
+  Instant NextProbe;
+  Instant NextDeadRetry;
+  /// 0 is healthy; probe timeouts grow with it.
+  unsigned LocalHealth = 0;
+  std::uint64_t NextExchange = 1;
+  std::uint64_t ProbeCount = 0;
+  std::vector<ProxyId> LocalOrder;
+  std::vector<ProxyId> RemoteOrder;
+  std::map<std::uint64_t, detail::Probe> Probes;
+  std::map<std::uint64_t, detail::RelayedProbe> Relays;
+  /// Updates still to be sent, with the transmissions made.
+  std::map<ProxyId, unsigned, std::less<>> Outbox;
+  /// Next member of the background refresh.
+  ProxyId RefreshCursor;
+};
+
+enum class MemberMessageKind : std::uint8_t { Ping, IndirectPing, Ack };
+
+/// A received or sent membership message. The sender's own update is always
+/// among Updates.
+struct MemberMessage {
+  MemberMessageKind Kind = MemberMessageKind::Ping;
+  std::uint64_t ExchangeId = 0;
+  /// Indirect ping: the member to probe.
+  ProxyId Target;
+  std::vector<MemberUpdate> Updates;
+};
+
+struct SendMemberMessage {
+  ProxyId To;
+  std::string Address;
+  MemberMessage Message;
+};
+
+/// A member is new or its state, address or leaving mark changed.
+struct MemberChanged {
+  MemberUpdate Now;
+  MemberState Before = MemberState::Joining;
+  bool New = false;
+};
+
+/// This process was suspected or paused and announced a higher incarnation.
+struct SelfRefuted {
+  std::uint64_t Incarnation = 0;
+};
+
+using MembershipAction =
+    std::variant<SendMemberMessage, MemberChanged, SelfRefuted>;
+using MembershipActions = std::vector<MembershipAction>;
+
+/// \p Self.Incarnation must be higher than in any earlier run with the same
+/// id, for example the wall-clock time of the start in milliseconds.
+MembershipState makeMembership(MembershipOptions Options, MemberUpdate Self,
+                               std::vector<MemberUpdate> Seeds, Instant Now,
+                               std::mt19937_64 &Random);
+
+/// Adds addresses from the host list. Known ids are ignored.
+void addSeeds(MembershipState &S, const std::vector<MemberUpdate> &Seeds);
+
+/// Runs timers; expected every 100 ms or more often. A gap above
+/// Options.PauseLimit counts as a detected pause.
+MembershipActions tick(MembershipState &S, Instant Now,
+                       std::mt19937_64 &Random);
+
+/// \p From and \p FromAddress come from the message header.
+MembershipActions received(MembershipState &S, const ProxyId &From,
+                           const std::string &FromAddress,
+                           const MemberMessage &Message, Instant Now,
+                           std::mt19937_64 &Random);
+
+/// This process was paused: drops pending probes, restarts suspicions and
+/// announces a higher incarnation.
+MembershipActions pauseDetected(MembershipState &S, Instant Now);
+
+/// Announces that this proxy is leaving.
+MembershipActions announceLeaving(MembershipState &S, Instant Now);
+
+/// Farewell before exit: tells some members that this proxy is dead, so that
+/// no suspicion time passes.
+MembershipActions announceExit(MembershipState &S, Instant Now,
+                               std::mt19937_64 &Random);
+
+/// True if the member is believed to be running: alive, suspect or leaving.
+bool isLive(const Member &M);
+
+/// This proxy and all live members, input of makeOwnerTable.
+std::vector<LiveProxy> liveProxies(const MembershipState &S);
+
+/// Live members, without this proxy.
+std::vector<ProxyId> livePeers(const MembershipState &S);
+
+/// Bytes that an update takes in a message.
+std::size_t encodedSize(const MemberUpdate &U);
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_MEMBERSHIP_H
