--- a/packages/kernel/include/kernel/failover.h
+++ b/packages/kernel/include/kernel/failover.h
@@ -48,6 +48,9 @@
   Duration RetryInterval = std::chrono::milliseconds(200);
   /// Wait for the remaining upstreams once a majority has answered.
   Duration GatherTime = std::chrono::milliseconds(50);
+  /// Largest lag of a replica at the start of a planned promotion, in log
+  /// entries.
+  std::uint64_t CatchUpEntries = 200;
   /// Time in which a replica may catch up in a planned promotion.
   Duration CatchUpTime = std::chrono::milliseconds(500);
   /// An attempt that takes longer is abandoned.
@@ -56,7 +59,10 @@
   Duration StallTimeout = std::chrono::milliseconds(1500);
   Duration StallJitter = std::chrono::milliseconds(500);
   /// Pause between attempts, plus jitter of the same size.
-  Duration Backoff = std::chrono::milliseconds(300);
+  Duration Backoff = std::chrono::milliseconds(200);
+  /// Pause after the other watchers disagreed, doubled up to the largest.
+  Duration VoteBackoff = std::chrono::milliseconds(50);
+  Duration MaxVoteBackoff = std::chrono::seconds(2);
   /// Pause between planned promotions, which are not urgent.
   Duration PlannedBackoff = std::chrono::seconds(5);
   Duration FollowInterval = std::chrono::seconds(1);
@@ -131,8 +137,9 @@
   /// Upstreams that failed or refused in this phase.
   std::set<UpstreamId> Failed;
   UpstreamId Chosen;
-  /// The last compare-and-swap may have run without a response.
-  bool InDoubt = false;
+  UpstreamId OldPrimary;
+  /// In CatchingUp: log of the old primary after it raised its term.
+  std::optional<Position> Goal;
 };
 
 /// Last contact of this proxy with an upstream.
@@ -165,6 +172,9 @@
   std::uint64_t TermFloor = 0;
   Instant NextAttempt;
   Duration StallDelay{0};
+  unsigned FailedVotes = 0;
+  /// Failures of connections that started before this instant don't count.
+  Instant DiscardedAt;
   Instant LastStep;
 };
 
@@ -232,7 +242,7 @@
   Unknown,
 };
 
-/// Answer to QueryStatus, RaiseTerm or Promote.
+/// Answer to QueryStatus, RaiseTerm or Promote, with the fields of the action.
 struct UpstreamAnswered {
   std::uint64_t Attempt = 0;
   /// Phase in the action that is answered.
--- a/packages/kernel/include/kernel/membership.h
+++ b/packages/kernel/include/kernel/membership.h
@@ -17,8 +17,8 @@
 namespace eelgrassloom {
 
 enum class MemberState : std::uint8_t {
-  /// In an update of a proxy about itself: it does not know the fleet yet and
-  /// asks for the view. Otherwise the same as Alive.
+  /// Runs, but does not know the fleet or the configuration yet: owns nothing.
+  /// Its pings ask for the view.
   Joining,
   Alive,
   Suspect,
@@ -50,25 +50,33 @@
   /// Wait for an ack before indirect probes start.
   Duration ProbeTimeout = std::chrono::milliseconds(150);
   unsigned IndirectProbes = 3;
-  /// Smallest suspicion time is this times log10(members) probe intervals.
-  double SuspicionMultiplier = 3;
-  /// Largest suspicion time as a multiple of the smallest; independent
-  /// suspicions shorten it.
-  double SuspicionSpread = 3;
-  unsigned SuspicionConfirmations = 2;
+  /// The suspicion time is this times log10(members) probe intervals.
+  double SuspicionMultiplier = 4;
   /// Transmissions of one update are this times log2(members).
   double RetransmitMultiplier = 2;
   /// Bytes of piggybacked updates in one message.
   std::size_t UpdateBytes = 700;
+  /// Part of UpdateBytes for members without news, in turn. It repairs what
+  /// the limited retransmissions of an update missed.
+  std::size_t RefreshBytes = 200;
+  /// Fresh updates are also sent to GossipFanout random members at this
+  /// interval, because probes alone carry a refutation too slowly to 800
+  /// members.
+  Duration GossipInterval = std::chrono::milliseconds(200);
+  unsigned GossipFanout = 2;
   /// Bytes of updates in the answer to a join request.
   std::size_t JoinBytes = 12 * 1024;
   /// Least time between two full answers to join requests.
   Duration JoinAnswerInterval = std::chrono::seconds(1);
   /// Random delay before the first join request.
   Duration JoinJitter = std::chrono::milliseconds(200);
-  Duration JoinInterval = std::chrono::milliseconds(250);
+  Duration JoinInterval = std::chrono::milliseconds(100);
   /// Joining ends after this many requests even if members stay unknown.
   unsigned JoinRequests = 40;
+  /// Join answers in a row without a new member that end the joining.
+  unsigned QuietJoinAnswers = 3;
+  /// Full answers that one member gives to the same joining proxy.
+  unsigned JoinAnswersPerMember = 2;
   /// One in this many probes goes to another failure domain.
   unsigned RemoteProbeEvery = 4;
   /// Interval at which one dead member is contacted again; while that
@@ -86,19 +94,26 @@
   Instant Since;
   /// When a suspect becomes dead.
   Instant SuspectUntil;
-  std::vector<ProxyId> Suspecters;
   /// Announced that it is leaving; survives a suspicion.
   bool Leaving = false;
+  /// Has left the Joining state; survives a suspicion.
+  bool Ready = false;
+  unsigned JoinAnswers = 0;
 };
 
 namespace detail {
 
 struct Probe {
   ProxyId Target;
+  Instant StartedAt;
   Instant IndirectAt;
   Instant FailAt;
   bool IndirectSent = false;
+  /// Contact with a member that is dead or known only by its address.
   bool Retry = false;
+  bool Join = false;
+  /// Tells a suspect that it is suspected; its failure means nothing.
+  bool Warning = false;
 };
 
 /// A probe sent for another proxy.
@@ -118,14 +133,18 @@
   std::map<ProxyId, Member, std::less<>> Members;
   /// Addresses known before any contact: settings and host list.
   std::vector<MemberUpdate> Seeds;
+  /// The view is complete enough to act on it.
   bool Joined = false;
   unsigned JoinRequestsLeft = 0;
   unsigned QuietJoinAnswers = 0;
   Instant NextJoin;
-  Instant LastJoinAnswer;
+  Instant NextJoinAnswer;
   Instant LastTick;
   Instant NextProbe;
   Instant NextDeadRetry;
+  Instant NextGossip;
+  Instant LastReceived;
+  unsigned Suspects = 0;
   /// 0 is healthy; probe timeouts grow with it.
   unsigned LocalHealth = 0;
   std::uint64_t NextExchange = 1;
@@ -136,6 +155,8 @@
   std::map<std::uint64_t, detail::RelayedProbe> Relays;
   /// Updates still to be sent, with the transmissions made.
   std::map<ProxyId, unsigned, std::less<>> Outbox;
+  /// Transmissions by gossip that the own latest update still gets.
+  unsigned SelfNews = 0;
   /// Next member of the background refresh.
   ProxyId RefreshCursor;
 };
@@ -194,6 +215,10 @@
                            const MemberMessage &Message, Instant Now,
                            std::mt19937_64 &Random);
 
+/// Ends the Joining state: this proxy knows the configuration and may own
+/// upstreams. Until then it owns nothing in any view.
+MembershipActions announceReady(MembershipState &S, Instant Now);
+
 /// This process was paused: drops pending probes, restarts suspicions and
 /// announces a higher incarnation.
 MembershipActions pauseDetected(MembershipState &S, Instant Now);
@@ -209,7 +234,8 @@
 /// True if the member is believed to be running: alive, suspect or leaving.
 bool isLive(const Member &M);
 
-/// This proxy and all live members, input of makeOwnerTable.
+/// This proxy and all live members that have announced to be ready; input of
+/// makeOwnerTable.
 std::vector<LiveProxy> liveProxies(const MembershipState &S);
 
 /// Live members, without this proxy.
--- a/packages/kernel/include/kernel/spread.h
+++ b/packages/kernel/include/kernel/spread.h
@@ -41,26 +41,33 @@
   /// Peers that receive a changed item at once.
   unsigned Fanout = 4;
   Duration DigestInterval = std::chrono::seconds(1);
-  /// Bytes of items or versions in one message.
+  /// Bytes of items or versions in one message; a larger item goes alone.
   std::size_t MessageBytes = 16 * 1024;
+  /// A push of more items than this is a bulk transfer and is not passed on.
+  std::size_t PassOnItems = 16;
 };
 
+/// Not copyable: Ranges refers to Items.
 struct SpreadState {
+  SpreadState() = default;
+  SpreadState(const SpreadState &) = delete;
+  SpreadState &operator=(const SpreadState &) = delete;
+  SpreadState(SpreadState &&) = default;
+  SpreadState &operator=(SpreadState &&) = default;
+
   SpreadOptions Options;
   std::map<std::string, Item, std::less<>> Items;
-  /// Keys by range.
-  std::array<std::map<std::string, std::uint64_t, std::less<>>, DigestRanges>
-      Ranges;
+  /// Keys by range; the pointers refer to nodes of Items.
+  std::array<std::vector<const Item *>, DigestRanges> Ranges;
   std::array<std::uint64_t, DigestRanges> RangeHash{};
   Instant NextDigest;
 };
 
 struct SpreadDigest {
+  /// An answer that has no room for a range repeats the receiver's hash of it.
   std::vector<std::uint64_t> RangeHash;
-  /// Versions of the sender's keys in the ranges that differ.
+  /// Answer: all keys of the sender in the ranges that differ.
   std::vector<ItemVersion> Versions;
-  /// Ranges that Versions covers completely; keys absent there are unknown to
-  /// the sender. Follows from RangeHash: those with the value 0 removed.
   bool Answer = false;
 };
 
--- /dev/null
+++ b/packages/kernel/src/failover.cpp
@@ -0,0 +1,687 @@
+#include "kernel/failover.h"
+#include <algorithm>
+#include <tuple>
+
+namespace eelgrassloom {
+namespace detail {
+
+static Duration uniform(Duration Below, std::mt19937_64 &Random) {
+  if (Below <= Duration::zero())
+    return Duration::zero();
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      0, Below.count() - 1)(Random));
+}
+
+static std::uint64_t freshNonce(std::mt19937_64 &Random) {
+  return std::uniform_int_distribution<std::uint64_t>(1)(Random);
+}
+
+/// Everything that the handlers of one step share.
+struct Step {
+  FailoverState &S;
+  Instant Now;
+  std::mt19937_64 &Random;
+  FailoverActions Actions;
+
+  void note(FailoverNoteKind Kind, UpstreamId Upstream = UpstreamId()) {
+    Actions.emplace_back(FailoverNote{
+        Kind, S.Current.Reason, S.Current.Phase,
+        std::max(S.Record.Term, S.Current.Target.Term), std::move(Upstream)});
+  }
+};
+
+static bool active(const FailoverState &S) {
+  return S.Current.Phase != AttemptPhase::None;
+}
+
+static bool ownRecord(const FailoverState &S, const GroupRecord &R) {
+  return R.Candidate == S.Self && R.Nonce == S.Current.Id && active(S);
+}
+
+static bool isWatcher(const FailoverState &S) {
+  return std::find(S.Watchers.begin(), S.Watchers.end(), S.Self) !=
+         S.Watchers.end();
+}
+
+static bool leaving(const FailoverState &S, const UpstreamId &Id) {
+  const Upstream *U = findUpstream(S.Group, Id);
+  if (!U || U->Leaving)
+    return true;
+  auto It = S.Contacts.find(Id);
+  return It != S.Contacts.end() && It->second.Status.Leaving;
+}
+
+static bool outageProven(const FailoverState &S, const Contact &C) {
+  return C.FailingSince &&
+         C.LastFailure - *C.FailingSince >= S.Options.Tolerance;
+}
+
+static bool serves(const LogStatus &L, std::uint64_t Term) {
+  return L.UpstreamRole == Role::Primary && L.RaisedTerm <= Term;
+}
+
+static void stop(Step &C, Duration Pause) {
+  C.S.Current = Attempt();
+  C.S.NextAttempt = C.Now + Pause + uniform(Pause, C.Random);
+}
+
+static void abandon(Step &C) {
+  if (!active(C.S))
+    return;
+  C.note(FailoverNoteKind::Abandoned);
+  bool Planned = C.S.Current.Reason == AttemptReason::Planned &&
+                 C.S.Record.Phase == GroupPhase::Stable;
+  stop(C, Planned ? C.S.Options.PlannedBackoff : C.S.Options.Backoff);
+}
+
+/// Takes over a record that is newer than the known one.
+static bool adopt(Step &C, const GroupRecord &R) {
+  FailoverState &S = C.S;
+  bool First = !S.RecordKnown;
+  S.RecordKnown = true;
+  if (First)
+    S.RecordSince = C.Now;
+  if (!newer(R, S.Record))
+    return false;
+  S.Record = R;
+  S.RecordSince = C.Now;
+  S.TermFloor = std::max(S.TermFloor, R.Term);
+  S.StallDelay = uniform(S.Options.StallJitter, C.Random);
+  S.FailedVotes = 0;
+  // Failures before the promotion say nothing about the new primary.
+  if (auto It = S.Contacts.find(R.Primary); It != S.Contacts.end())
+    It->second.FailingSince.reset();
+  C.Actions.emplace_back(PublishRecord{R});
+  return true;
+}
+
+/// A record that this proxy did not write in its current attempt.
+static void recordSeen(Step &C, const GroupRecord &R) {
+  if (adopt(C, R) && active(C.S) && !ownRecord(C.S, R))
+    abandon(C);
+}
+
+static void enter(Step &C, AttemptPhase Phase) {
+  Attempt &A = C.S.Current;
+  A.Phase = Phase;
+  A.PhaseStarted = C.Now;
+  A.NextRetry = C.Now + C.S.Options.RetryInterval;
+  A.MajorityAt.reset();
+  A.Answers.clear();
+  A.Failed.clear();
+}
+
+/// Sends the request of the phase to an upstream.
+static void call(Step &C, const UpstreamId &Id) {
+  const Attempt &A = C.S.Current;
+  switch (A.Phase) {
+  case AttemptPhase::Surveying:
+  case AttemptPhase::CatchingUp:
+    C.Actions.emplace_back(QueryStatus{A.Id, A.Phase, Id});
+    break;
+  case AttemptPhase::Raising:
+    C.Actions.emplace_back(RaiseTerm{A.Id, A.Phase, Id, A.Target.Term});
+    break;
+  case AttemptPhase::Promoting:
+    C.Actions.emplace_back(Promote{A.Id, A.Phase, Id, A.Target.Term});
+    break;
+  default:
+    break;
+  }
+}
+
+static void callAll(Step &C) {
+  for (const Upstream &U : C.S.Group.Upstreams)
+    if (!C.S.Current.Answers.contains(U.Id))
+      call(C, U.Id);
+}
+
+static void survey(Step &C) {
+  enter(C, AttemptPhase::Surveying);
+  callAll(C);
+}
+
+static void read(Step &C) {
+  C.S.Current.NextRetry = C.Now + C.S.Options.RetryInterval;
+  C.Actions.emplace_back(ReadRecord{C.S.Current.Id});
+}
+
+static void swap(Step &C) {
+  Attempt &A = C.S.Current;
+  A.NextRetry = C.Now + C.S.Options.RetryInterval;
+  C.Actions.emplace_back(SwapRecord{A.Id, A.Revision, A.Target});
+}
+
+static void begin(Step &C, AttemptReason Reason) {
+  FailoverState &S = C.S;
+  S.Current = Attempt();
+  S.Current.Reason = Reason;
+  S.Current.Id = freshNonce(C.Random);
+  S.Current.Started = C.Now;
+  if (Reason != AttemptReason::Unreachable) {
+    C.note(FailoverNoteKind::AttemptStarted);
+    survey(C);
+    return;
+  }
+  enter(C, AttemptPhase::Voting);
+  C.note(FailoverNoteKind::PrimaryUnreachable, S.Record.Primary);
+  S.Current.Agreeing.insert(S.Self);
+  if (S.Current.Agreeing.size() >= majority(S.Watchers.size())) {
+    survey(C);
+    return;
+  }
+  for (const ProxyId &Watcher : S.Watchers)
+    if (Watcher != S.Self)
+      C.Actions.emplace_back(AskVote{Watcher, S.Record.Term, S.Record.Primary});
+}
+
+static void votesFailed(Step &C) {
+  FailoverState &S = C.S;
+  constexpr unsigned MaxDoublings = 6;
+  Duration Pause = std::min(S.Options.MaxVoteBackoff,
+                            S.Options.VoteBackoff *
+                                (1U << std::min(S.FailedVotes, MaxDoublings)));
+  ++S.FailedVotes;
+  stop(C, Pause);
+}
+
+static bool primaryLeaves(const FailoverState &S) {
+  return leaving(S, S.Record.Primary) &&
+         std::any_of(S.Group.Upstreams.begin(), S.Group.Upstreams.end(),
+                     [&](const Upstream &U) { return !leaving(S, U.Id); });
+}
+
+/// Starts an attempt if there is a reason for one.
+static void consider(Step &C) {
+  FailoverState &S = C.S;
+  if (!S.PlatformAvailable || !S.RecordKnown || !isWatcher(S) ||
+      C.Now < S.NextAttempt || S.Group.Upstreams.empty())
+    return;
+  Duration Age = C.Now - S.RecordSince;
+  if (S.Record.Term == 0) {
+    if (Age >= S.StallDelay)
+      begin(C, AttemptReason::Absent);
+    return;
+  }
+  if (S.Record.Phase == GroupPhase::Electing) {
+    // An own attempt that was abandoned needs no further waiting.
+    if (S.Record.Candidate == S.Self ||
+        Age >= S.Options.StallTimeout + S.StallDelay)
+      begin(C, AttemptReason::Stalled);
+    return;
+  }
+  auto Primary = S.Contacts.find(S.Record.Primary);
+  if (Primary != S.Contacts.end() && outageProven(S, Primary->second))
+    begin(C, AttemptReason::Unreachable);
+  else if (primaryLeaves(S) && Age >= S.StallDelay)
+    begin(C, AttemptReason::Planned);
+}
+
+/// The best log among the answers: later last entry, then in service, then the
+/// present primary.
+static UpstreamId bestLog(const FailoverState &S) {
+  auto Key = [&](const auto &Entry) {
+    return std::tuple(Entry.second.Applied, !leaving(S, Entry.first),
+                      Entry.second.UpstreamRole == Role::Primary);
+  };
+  auto Best = std::max_element(
+      S.Current.Answers.begin(), S.Current.Answers.end(),
+      [&](const auto &A, const auto &B) { return Key(A) < Key(B); });
+  return Best->first;
+}
+
+/// True once a majority answered and waiting for the others is over.
+static bool gathered(Step &C) {
+  Attempt &A = C.S.Current;
+  std::size_t Upstreams = C.S.Group.Upstreams.size();
+  if (A.Answers.size() < majority(Upstreams))
+    return false;
+  if (!A.MajorityAt)
+    A.MajorityAt = C.Now;
+  return A.Answers.size() + A.Failed.size() >= Upstreams ||
+         C.Now - *A.MajorityAt >= C.S.Options.GatherTime;
+}
+
+/// A planned promotion starts only if a replica can catch up quickly.
+static bool replicaIsNear(const FailoverState &S) {
+  const Attempt &A = S.Current;
+  auto Old = A.Answers.find(S.Record.Primary);
+  if (Old == A.Answers.end())
+    return !findUpstream(S.Group, S.Record.Primary);
+  return std::any_of(A.Answers.begin(), A.Answers.end(), [&](const auto &E) {
+    const Position &P = E.second.Applied;
+    return !leaving(S, E.first) && P.Term == Old->second.Applied.Term &&
+           P.Index + S.Options.CatchUpEntries >= Old->second.Applied.Index;
+  });
+}
+
+static void surveyed(Step &C) {
+  FailoverState &S = C.S;
+  auto Old = S.Current.Answers.find(S.Record.Primary);
+  if (S.Current.Reason == AttemptReason::Unreachable &&
+      Old != S.Current.Answers.end() && serves(Old->second, S.Record.Term)) {
+    S.Contacts[S.Record.Primary].FailingSince.reset();
+    abandon(C);
+    return;
+  }
+  if (!gathered(C))
+    return;
+  if (S.Current.Reason == AttemptReason::Planned && !replicaIsNear(S)) {
+    abandon(C);
+    return;
+  }
+  if (S.Current.Reason == AttemptReason::Unreachable)
+    C.note(FailoverNoteKind::AttemptStarted);
+  enter(C, AttemptPhase::Reading);
+  read(C);
+}
+
+static void raise(Step &C) {
+  enter(C, AttemptPhase::Raising);
+  callAll(C);
+}
+
+static void claim(Step &C, const RecordRead &R) {
+  FailoverState &S = C.S;
+  if (newer(R.Record, S.Record)) {
+    recordSeen(C, R.Record);
+    return;
+  }
+  Attempt &A = S.Current;
+  A.Target = GroupRecord();
+  A.Target.Database = S.Group.Name;
+  A.Target.Term = std::max(S.Record.Term, S.TermFloor) + 1;
+  A.Target.Candidate = S.Self;
+  A.Target.Nonce = A.Id;
+  A.Target.Line = S.Record.Line;
+  A.Revision = R.Revision;
+  enter(C, AttemptPhase::Claiming);
+  swap(C);
+}
+
+static void claimed(Step &C, std::uint64_t Revision) {
+  FailoverState &S = C.S;
+  UpstreamId Old = S.Record.Primary;
+  S.Current.Revision = Revision;
+  S.Current.OldPrimary = Old;
+  adopt(C, S.Current.Target);
+  C.note(FailoverNoteKind::Claimed);
+  if (S.Current.Reason != AttemptReason::Planned ||
+      !findUpstream(S.Group, Old)) {
+    raise(C);
+    return;
+  }
+  enter(C, AttemptPhase::CatchingUp);
+  C.Actions.emplace_back(RaiseTerm{S.Current.Id, AttemptPhase::CatchingUp, Old,
+                                   S.Current.Target.Term});
+}
+
+static void finished(Step &C) {
+  FailoverState &S = C.S;
+  adopt(C, S.Current.Target);
+  C.note(FailoverNoteKind::Finished, S.Record.Primary);
+  for (const Upstream &U : S.Group.Upstreams)
+    if (U.Id != S.Record.Primary) {
+      S.Contacts[U.Id].LastFollow = C.Now;
+      C.Actions.emplace_back(Follow{U.Id, S.Record.Term, S.Record.Primary});
+    }
+  bool Planned = S.Current.Reason == AttemptReason::Planned;
+  stop(C, Planned ? S.Options.PlannedBackoff : S.Options.Backoff);
+}
+
+/// Waits until a replica holds everything that the old primary accepted.
+static void catchUp(Step &C) {
+  FailoverState &S = C.S;
+  Attempt &A = S.Current;
+  bool Caught =
+      A.Goal &&
+      std::any_of(A.Answers.begin(), A.Answers.end(), [&](const auto &E) {
+        return E.first != A.OldPrimary && !leaving(S, E.first) &&
+               E.second.Applied >= *A.Goal;
+      });
+  if (Caught || C.Now - A.PhaseStarted >= S.Options.CatchUpTime)
+    raise(C);
+}
+
+static void raised(Step &C) {
+  if (!gathered(C))
+    return;
+  FailoverState &S = C.S;
+  UpstreamId Best = bestLog(S);
+  enter(C, AttemptPhase::Promoting);
+  S.Current.Chosen = Best;
+  call(C, Best);
+}
+
+static void promoted(Step &C, const LogStatus &Status) {
+  Attempt &A = C.S.Current;
+  A.Target.Phase = GroupPhase::Stable;
+  A.Target.Primary = A.Chosen;
+  A.Target.Line = Status.Line;
+  if (A.Target.Line.empty() || A.Target.Line.back().Term < A.Target.Term)
+    A.Target.Line.push_back({A.Target.Term, Status.Applied.Index});
+  C.note(FailoverNoteKind::Promoted, A.Chosen);
+  enter(C, AttemptPhase::Finishing);
+  swap(C);
+}
+
+/// Runs the timers of the current phase.
+static void progress(Step &C) {
+  FailoverState &S = C.S;
+  Attempt &A = S.Current;
+  // After the promotion only this record can make the database writable, so
+  // the last compare-and-swap is repeated until another record is seen.
+  if (A.Phase != AttemptPhase::Finishing &&
+      C.Now - A.Started >= S.Options.AttemptTimeout) {
+    abandon(C);
+    return;
+  }
+  switch (A.Phase) {
+  case AttemptPhase::Voting:
+    if (C.Now - A.PhaseStarted >= S.Options.VoteTimeout)
+      votesFailed(C);
+    return;
+  case AttemptPhase::Surveying:
+    surveyed(C);
+    break;
+  case AttemptPhase::CatchingUp:
+    catchUp(C);
+    break;
+  case AttemptPhase::Raising:
+    raised(C);
+    break;
+  default:
+    break;
+  }
+  if (!active(S) || C.Now < A.NextRetry)
+    return;
+  A.NextRetry = C.Now + S.Options.RetryInterval;
+  switch (A.Phase) {
+  case AttemptPhase::Reading:
+  case AttemptPhase::Claiming:
+  case AttemptPhase::Finishing:
+    // Without a response the swap may have run: the record tells.
+    read(C);
+    break;
+  case AttemptPhase::Promoting:
+    call(C, A.Chosen);
+    break;
+  case AttemptPhase::CatchingUp:
+    if (!A.Goal)
+      C.Actions.emplace_back(
+          RaiseTerm{A.Id, A.Phase, A.OldPrimary, A.Target.Term});
+    break;
+  default:
+    A.Failed.clear();
+    callAll(C);
+    break;
+  }
+}
+
+static void discard(Step &C) {
+  FailoverState &S = C.S;
+  if (active(S))
+    C.note(FailoverNoteKind::PauseDiscarded);
+  S.Contacts.clear();
+  S.DiscardedAt = C.Now;
+  S.RecordSince = C.Now;
+  S.FailedVotes = 0;
+  stop(C, S.Options.Backoff);
+}
+
+static void handle(Step &C, const FailoverTick &) {
+  if (active(C.S))
+    progress(C);
+  if (!active(C.S))
+    consider(C);
+}
+
+static void handle(Step &C, const GroupConfigured &E) {
+  FailoverState &S = C.S;
+  bool SameUpstreams = std::equal(
+      S.Group.Upstreams.begin(), S.Group.Upstreams.end(),
+      E.Group.Upstreams.begin(), E.Group.Upstreams.end(),
+      [](const Upstream &A, const Upstream &B) { return A.Id == B.Id; });
+  S.Group = E.Group;
+  S.Watchers = E.Watchers;
+  std::erase_if(S.Contacts, [&](const auto &Entry) {
+    return !findUpstream(S.Group, Entry.first);
+  });
+  // The majority of an attempt must not change under it.
+  if (!SameUpstreams)
+    abandon(C);
+}
+
+static void handle(Step &C, const RecordSeen &E) { recordSeen(C, E.Record); }
+
+static void handle(Step &C, const PlatformReachable &E) {
+  C.S.PlatformAvailable = E.Available;
+}
+
+/// Repairs an upstream that missed the promotion or stopped replicating.
+static void followIfNeeded(Step &C, const UpstreamId &Id, Contact &Known) {
+  FailoverState &S = C.S;
+  if (S.Record.Phase != GroupPhase::Stable || S.Record.Term == 0 ||
+      Id == S.Record.Primary || Known.Status.RaisedTerm > S.Record.Term ||
+      C.Now - Known.LastFollow < S.Options.FollowInterval)
+    return;
+  bool Outdated = Known.Status.RaisedTerm < S.Record.Term ||
+                  Known.Status.UpstreamRole == Role::Primary;
+  auto Primary = S.Contacts.find(S.Record.Primary);
+  bool Stuck = Primary != S.Contacts.end() &&
+               Known.Status.Applied != Primary->second.Status.Applied &&
+               C.Now - Known.LastProgress >= S.Options.FollowInterval;
+  if (!Outdated && !Stuck)
+    return;
+  Known.LastFollow = C.Now;
+  C.Actions.emplace_back(Follow{Id, S.Record.Term, S.Record.Primary});
+}
+
+static void handle(Step &C, const UpstreamContact &E) {
+  FailoverState &S = C.S;
+  if (!findUpstream(S.Group, E.Upstream))
+    return;
+  if (!E.Status && E.StartedAt < S.DiscardedAt)
+    return;
+  Contact &Known = S.Contacts[E.Upstream];
+  bool Failing = !E.Status;
+  if (E.Status) {
+    S.TermFloor = std::max(S.TermFloor, E.Status->RaisedTerm);
+    if (E.Status->Applied != Known.Status.Applied)
+      Known.LastProgress = C.Now;
+    Known.Status = *E.Status;
+    // A primary that no longer serves its term is as good as unreachable.
+    Failing = E.Upstream == S.Record.Primary &&
+              S.Record.Phase == GroupPhase::Stable &&
+              !serves(*E.Status, S.Record.Term);
+  }
+  if (Failing) {
+    if (!Known.FailingSince)
+      Known.FailingSince = E.StartedAt;
+    Known.LastFailure = C.Now;
+  } else {
+    Known.FailingSince.reset();
+    if (E.Upstream == S.Record.Primary) {
+      S.FailedVotes = 0;
+      if (S.Current.Phase == AttemptPhase::Voting)
+        abandon(C);
+    }
+  }
+  if (E.Status)
+    followIfNeeded(C, E.Upstream, Known);
+}
+
+static void handle(Step &C, const VoteReceived &E) {
+  FailoverState &S = C.S;
+  if (S.Current.Phase != AttemptPhase::Voting || E.Term != S.Record.Term ||
+      E.PrimaryReachable ||
+      std::find(S.Watchers.begin(), S.Watchers.end(), E.From) ==
+          S.Watchers.end())
+    return;
+  S.Current.Agreeing.insert(E.From);
+  if (S.Current.Agreeing.size() >= majority(S.Watchers.size()))
+    survey(C);
+}
+
+/// The record after a compare-and-swap that was refused or is in doubt.
+static void resolveSwap(Step &C, const GroupRecord &Record,
+                        std::uint64_t Revision) {
+  FailoverState &S = C.S;
+  Attempt &A = S.Current;
+  bool Own = ownRecord(S, Record) && Record.Term == A.Target.Term;
+  if (A.Phase == AttemptPhase::Claiming) {
+    if (Own)
+      claimed(C, Revision);
+    else if (Revision == A.Revision)
+      swap(C);
+    else if (newer(Record, S.Record))
+      recordSeen(C, Record);
+    else
+      abandon(C);
+    return;
+  }
+  if (Own && Record.Phase == GroupPhase::Stable) {
+    finished(C);
+  } else if (Own) {
+    A.Revision = Revision;
+    swap(C);
+  } else if (newer(Record, S.Record)) {
+    recordSeen(C, Record);
+  } else {
+    abandon(C);
+  }
+}
+
+static bool swapping(const FailoverState &S) {
+  return S.Current.Phase == AttemptPhase::Claiming ||
+         S.Current.Phase == AttemptPhase::Finishing;
+}
+
+static void handle(Step &C, const RecordSwapped &E) {
+  FailoverState &S = C.S;
+  if (E.Attempt != S.Current.Id || !swapping(S))
+    return;
+  switch (E.Outcome) {
+  case SwapOutcome::Swapped:
+  case SwapOutcome::Conflict:
+    resolveSwap(C, E.Record, E.Revision);
+    return;
+  case SwapOutcome::Unknown:
+    read(C);
+    return;
+  }
+}
+
+static void handle(Step &C, const RecordRead &E) {
+  FailoverState &S = C.S;
+  if (E.Attempt != S.Current.Id || !E.Ok)
+    return;
+  if (S.Current.Phase == AttemptPhase::Reading)
+    claim(C, E);
+  else if (swapping(S))
+    resolveSwap(C, E.Record, E.Revision);
+}
+
+static void caughtUpAnswer(Step &C, const UpstreamAnswered &E) {
+  Attempt &A = C.S.Current;
+  A.Answers[E.Upstream] = E.Status;
+  if (E.Upstream == A.OldPrimary && !A.Goal) {
+    A.Goal = E.Status.Applied;
+    for (const Upstream &U : C.S.Group.Upstreams)
+      if (U.Id != A.OldPrimary)
+        call(C, U.Id);
+    return;
+  }
+  catchUp(C);
+  // Replicas are asked again until one has caught up.
+  if (A.Phase == AttemptPhase::CatchingUp && A.Goal &&
+      E.Upstream != A.OldPrimary)
+    call(C, E.Upstream);
+}
+
+static void handle(Step &C, const UpstreamAnswered &E) {
+  FailoverState &S = C.S;
+  Attempt &A = S.Current;
+  if (E.Outcome != CallOutcome::Unknown)
+    S.TermFloor = std::max(S.TermFloor, E.Status.RaisedTerm);
+  if (!active(S) || E.Attempt != A.Id || E.Phase != A.Phase)
+    return;
+  bool Superseded =
+      E.Outcome == CallOutcome::Refused && A.Phase != AttemptPhase::Surveying;
+  if (Superseded) {
+    abandon(C);
+    return;
+  }
+  if (E.Outcome == CallOutcome::Ok)
+    A.Failed.erase(E.Upstream);
+  else
+    A.Failed.insert(E.Upstream);
+  switch (A.Phase) {
+  case AttemptPhase::Surveying:
+    if (E.Outcome == CallOutcome::Ok)
+      A.Answers[E.Upstream] = E.Status;
+    surveyed(C);
+    return;
+  case AttemptPhase::CatchingUp:
+    if (E.Outcome == CallOutcome::Ok)
+      caughtUpAnswer(C, E);
+    return;
+  case AttemptPhase::Raising:
+    if (E.Outcome == CallOutcome::Ok)
+      A.Answers[E.Upstream] = E.Status;
+    raised(C);
+    return;
+  case AttemptPhase::Promoting:
+    if (E.Outcome == CallOutcome::Ok)
+      promoted(C, E.Status);
+    return;
+  default:
+    return;
+  }
+}
+
+static void handle(Step &C, const PauseDetected &) { discard(C); }
+
+} // namespace detail
+
+bool newer(const GroupRecord &A, const GroupRecord &B) {
+  return std::pair(A.Term, A.Phase) > std::pair(B.Term, B.Phase);
+}
+
+FailoverState makeFailover(FailoverOptions Options, ProxyId Self,
+                           Database Group, std::vector<ProxyId> Watchers,
+                           Instant Now) {
+  FailoverState S;
+  S.Options = Options;
+  S.Self = std::move(Self);
+  S.Group = std::move(Group);
+  S.Record.Database = S.Group.Name;
+  S.Watchers = std::move(Watchers);
+  S.RecordSince = Now;
+  S.NextAttempt = Now;
+  S.DiscardedAt = Now;
+  S.LastStep = Now;
+  return S;
+}
+
+FailoverActions step(FailoverState &S, const FailoverEvent &Event, Instant Now,
+                     std::mt19937_64 &Random) {
+  detail::Step C{S, Now, Random, {}};
+  if (Now - S.LastStep > S.Options.PauseLimit)
+    detail::discard(C);
+  S.LastStep = Now;
+  std::visit([&](const auto &E) { detail::handle(C, E); }, Event);
+  return std::move(C.Actions);
+}
+
+bool primaryReachable(const FailoverState &S, std::uint64_t Term,
+                      const UpstreamId &Primary, Instant Now) {
+  // A promotion from an outdated record must not start, and a paused process
+  // has no evidence.
+  if (S.Record.Term > Term || Now - S.LastStep > S.Options.PauseLimit)
+    return true;
+  auto It = S.Contacts.find(Primary);
+  return It == S.Contacts.end() || !detail::outageProven(S, It->second);
+}
+
+} // namespace eelgrassloom
--- /dev/null
+++ b/packages/kernel/src/membership.cpp
@@ -0,0 +1,634 @@
+#include "kernel/membership.h"
+#include <algorithm>
+#include <cmath>
+
+namespace eelgrassloom {
+namespace detail {
+
+static unsigned rank(MemberState State) {
+  switch (State) {
+  case MemberState::Dead:
+    return 2;
+  case MemberState::Suspect:
+    return 1;
+  default:
+    return 0;
+  }
+}
+
+static std::size_t liveCount(const MembershipState &S) {
+  return 1 + static_cast<std::size_t>(
+                 std::count_if(S.Members.begin(), S.Members.end(),
+                               [](const auto &M) { return isLive(M.second); }));
+}
+
+static Duration scaled(Duration D, double Factor) {
+  return Duration(
+      static_cast<Duration::rep>(static_cast<double>(D.count()) * Factor));
+}
+
+static Duration uniform(Duration Below, std::mt19937_64 &Random) {
+  if (Below <= Duration::zero())
+    return Duration::zero();
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      0, Below.count() - 1)(Random));
+}
+
+/// A suspicion raised or timed here waits longer while this proxy has reason
+/// to doubt itself.
+static Duration suspicionTime(const MembershipState &S) {
+  double Log = std::max(1.0, std::log10(static_cast<double>(liveCount(S))));
+  return scaled(S.Options.ProbeInterval, S.Options.SuspicionMultiplier * Log *
+                                             (1.0 + S.LocalHealth / 2.0));
+}
+
+static unsigned transmissions(const MembershipState &S) {
+  return 1 + static_cast<unsigned>(
+                 S.Options.RetransmitMultiplier *
+                 std::log2(static_cast<double>(liveCount(S)) + 1));
+}
+
+static void lowerHealth(MembershipState &S, unsigned By) {
+  S.LocalHealth = std::min(S.Options.MaxLocalHealth, S.LocalHealth + By);
+}
+
+static std::vector<const Member *>
+liveMembers(const MembershipState &S, const ProxyId &Except = ProxyId()) {
+  std::vector<const Member *> Live;
+  for (const auto &[Id, M] : S.Members)
+    if (isLive(M) && Id != Except)
+      Live.push_back(&M);
+  return Live;
+}
+
+template <class T>
+static std::vector<T> sample(std::vector<T> From, std::size_t Count,
+                             std::mt19937_64 &Random) {
+  Count = std::min(Count, From.size());
+  for (std::size_t I = 0; I < Count; ++I)
+    std::swap(From[I], From[std::uniform_int_distribution<std::size_t>(
+                           I, From.size() - 1)(Random)]);
+  From.resize(Count);
+  return From;
+}
+
+/// Own update, what the receiver must know about itself, news by fewest
+/// transmissions, then some members in turn.
+static std::vector<MemberUpdate> selectUpdates(MembershipState &S,
+                                               const ProxyId &To) {
+  std::vector<MemberUpdate> Updates = {S.Self};
+  std::size_t Used = encodedSize(S.Self);
+  const std::size_t Limit = S.Options.UpdateBytes;
+  auto Receiver = S.Members.find(To);
+  if (Receiver != S.Members.end() && rank(Receiver->second.About.State) > 0) {
+    Updates.push_back(Receiver->second.About);
+    Used += encodedSize(Receiver->second.About);
+  }
+
+  std::vector<std::pair<unsigned, const ProxyId *>> News;
+  News.reserve(S.Outbox.size());
+  for (const auto &[Id, Sent] : S.Outbox)
+    News.emplace_back(Sent, &Id);
+  std::sort(News.begin(), News.end(), [](const auto &A, const auto &B) {
+    return A.first != B.first ? A.first < B.first : *A.second < *B.second;
+  });
+  const unsigned MaxSent = transmissions(S);
+  std::vector<ProxyId> Finished;
+  for (const auto &[Sent, Id] : News) {
+    auto It = S.Members.find(*Id);
+    if (It == S.Members.end()) {
+      Finished.push_back(*Id);
+      continue;
+    }
+    std::size_t Size = encodedSize(It->second.About);
+    if (Used + Size > Limit)
+      break;
+    if (*Id != To) {
+      Updates.push_back(It->second.About);
+      Used += Size;
+    }
+    if (++S.Outbox[*Id] >= MaxSent)
+      Finished.push_back(*Id);
+  }
+  for (const ProxyId &Id : Finished)
+    S.Outbox.erase(Id);
+
+  std::size_t RefreshLimit = std::min(Limit, Used + S.Options.RefreshBytes);
+  for (std::size_t I = 0; I < S.Members.size(); ++I) {
+    auto It = S.Members.upper_bound(S.RefreshCursor);
+    if (It == S.Members.end())
+      It = S.Members.begin();
+    std::size_t Size = encodedSize(It->second.About);
+    if (Used + Size > RefreshLimit)
+      break;
+    S.RefreshCursor = It->first;
+    Updates.push_back(It->second.About);
+    Used += Size;
+  }
+  return Updates;
+}
+
+/// A segment of the view from a random place, for a joining proxy.
+static std::vector<MemberUpdate> viewSegment(const MembershipState &S,
+                                             const ProxyId &To,
+                                             std::mt19937_64 &Random) {
+  std::vector<MemberUpdate> Updates = {S.Self};
+  std::size_t Used = encodedSize(S.Self);
+  if (S.Members.empty())
+    return Updates;
+  auto It = std::next(
+      S.Members.begin(),
+      static_cast<std::ptrdiff_t>(std::uniform_int_distribution<std::size_t>(
+          0, S.Members.size() - 1)(Random)));
+  for (std::size_t I = 0; I < S.Members.size(); ++I) {
+    const MemberUpdate &U = It->second.About;
+    if (++It == S.Members.end())
+      It = S.Members.begin();
+    if (U.Id == To || U.State == MemberState::Dead)
+      continue;
+    Used += encodedSize(U);
+    if (Used > S.Options.JoinBytes)
+      break;
+    Updates.push_back(U);
+  }
+  return Updates;
+}
+
+static SendMemberMessage message(MembershipState &S, MemberMessageKind Kind,
+                                 const ProxyId &To, const std::string &Address,
+                                 std::uint64_t ExchangeId) {
+  return {To, Address, {Kind, ExchangeId, {}, selectUpdates(S, To)}};
+}
+
+/// Starts a probe that is answered with an ack of the same exchange id.
+static void startProbe(MembershipState &S, Probe P, const std::string &Address,
+                       Instant Now, MembershipActions &Actions) {
+  Duration Wait = S.Options.ProbeTimeout * (1 + S.LocalHealth);
+  P.StartedAt = Now;
+  P.IndirectAt = Now + Wait;
+  P.FailAt = P.IndirectAt + 2 * Wait;
+  std::uint64_t Exchange = S.NextExchange++;
+  Actions.emplace_back(
+      message(S, MemberMessageKind::Ping, P.Target, Address, Exchange));
+  S.Probes.emplace(Exchange, std::move(P));
+}
+
+static void announceSelf(MembershipState &S, Instant Now) {
+  ++S.Self.Incarnation;
+  S.NextGossip = Now;
+  S.SelfNews = transmissions(S);
+}
+
+static void changeState(MembershipState &S, Member &M, MemberState State,
+                        Instant Now, MembershipActions &Actions) {
+  MemberState Before = M.About.State;
+  if (Before == MemberState::Suspect)
+    --S.Suspects;
+  if (State == MemberState::Suspect) {
+    ++S.Suspects;
+    M.SuspectUntil = Now + suspicionTime(S);
+  }
+  M.About.State = State;
+  M.Since = Now;
+  if (rank(State) == 0) {
+    M.Leaving = State == MemberState::Leaving;
+    M.Ready = State != MemberState::Joining;
+  }
+  S.Outbox[M.About.Id] = 0;
+  Actions.emplace_back(MemberChanged{M.About, Before, false});
+}
+
+static void refute(MembershipState &S, const MemberUpdate &U, Instant Now,
+                   MembershipActions &Actions) {
+  bool Accused = rank(U.State) > 0 && U.Incarnation >= S.Self.Incarnation;
+  bool EarlierRun = U.Incarnation > S.Self.Incarnation;
+  if ((!Accused && !EarlierRun) || S.Self.State == MemberState::Dead)
+    return;
+  S.Self.Incarnation = U.Incarnation;
+  lowerHealth(S, 1);
+  announceSelf(S, Now);
+  Actions.emplace_back(SelfRefuted{S.Self.Incarnation});
+}
+
+/// Lets the suspect know at once, from a few of the members that heard of it.
+static void warnSuspect(MembershipState &S, const Member &M, Instant Now,
+                        std::mt19937_64 &Random, MembershipActions &Actions) {
+  constexpr double Warnings = 4;
+  double Share = Warnings / static_cast<double>(liveCount(S));
+  if (std::uniform_real_distribution<double>(0, 1)(Random) < Share)
+    startProbe(S, Probe{M.About.Id, {}, {}, {}, true, false, false, true},
+               M.About.Address, Now, Actions);
+}
+
+/// True if the update brought a new member.
+static bool apply(MembershipState &S, const MemberUpdate &U, Instant Now,
+                  std::mt19937_64 &Random, MembershipActions &Actions) {
+  if (U.Id == S.Self.Id) {
+    refute(S, U, Now, Actions);
+    return false;
+  }
+  auto It = S.Members.find(U.Id);
+  if (It == S.Members.end()) {
+    // A dead member that was forgotten here must not come back by gossip.
+    if (U.State == MemberState::Dead)
+      return false;
+    Member &M = S.Members[U.Id];
+    M.About = U;
+    M.Since = Now;
+    M.Leaving = U.State == MemberState::Leaving;
+    M.Ready = U.State != MemberState::Joining;
+    if (U.State == MemberState::Suspect) {
+      ++S.Suspects;
+      M.SuspectUntil = Now + suspicionTime(S);
+    }
+    S.Outbox[U.Id] = 0;
+    Actions.emplace_back(MemberChanged{U, MemberState::Joining, true});
+    return true;
+  }
+  Member &M = It->second;
+  bool Newer = U.Incarnation > M.About.Incarnation ||
+               (U.Incarnation == M.About.Incarnation &&
+                rank(U.State) > rank(M.About.State));
+  if (!Newer)
+    return false;
+  bool AddressChanged = U.Address != M.About.Address ||
+                        U.OperatorAddress != M.About.OperatorAddress ||
+                        U.FailureDomain != M.About.FailureDomain;
+  if (U.Incarnation > M.About.Incarnation)
+    M.JoinAnswers = 0;
+  MemberState Before = M.About.State;
+  M.About = U;
+  M.About.State = Before;
+  if (Before != U.State || U.State == MemberState::Suspect) {
+    changeState(S, M, U.State, Now, Actions);
+    if (U.State == MemberState::Suspect)
+      warnSuspect(S, M, Now, Random, Actions);
+  } else {
+    S.Outbox[U.Id] = 0;
+    if (AddressChanged)
+      Actions.emplace_back(MemberChanged{M.About, Before, false});
+  }
+  return false;
+}
+
+static void probeFailed(MembershipState &S, const Probe &P, Instant Now,
+                        MembershipActions &Actions) {
+  // Silence from everybody points at this proxy, not at the target.
+  if (S.LastReceived < P.StartedAt)
+    lowerHealth(S, 1);
+  auto It = S.Members.find(P.Target);
+  if (It == S.Members.end() || rank(It->second.About.State) > 0)
+    return;
+  changeState(S, It->second, MemberState::Suspect, Now, Actions);
+}
+
+static void sendIndirect(MembershipState &S, std::uint64_t Exchange,
+                         const ProxyId &Target, std::mt19937_64 &Random,
+                         MembershipActions &Actions) {
+  for (const Member *Helper :
+       sample(liveMembers(S, Target), S.Options.IndirectProbes, Random)) {
+    SendMemberMessage Send =
+        message(S, MemberMessageKind::IndirectPing, Helper->About.Id,
+                Helper->About.Address, Exchange);
+    Send.Message.Target = Target;
+    Actions.emplace_back(std::move(Send));
+  }
+}
+
+static void runProbes(MembershipState &S, Instant Now, std::mt19937_64 &Random,
+                      MembershipActions &Actions) {
+  std::vector<Probe> Failed;
+  for (auto It = S.Probes.begin(); It != S.Probes.end();) {
+    Probe &P = It->second;
+    if (Now >= P.FailAt) {
+      if (!P.Retry && !P.Join && !P.Warning)
+        Failed.push_back(P);
+      It = S.Probes.erase(It);
+      continue;
+    }
+    if (!P.IndirectSent && !P.Retry && !P.Join && Now >= P.IndirectAt) {
+      P.IndirectSent = true;
+      sendIndirect(S, It->first, P.Target, Random, Actions);
+    }
+    ++It;
+  }
+  for (const Probe &P : Failed)
+    probeFailed(S, P, Now, Actions);
+}
+
+/// Next member in a random order that visits everybody once.
+static const Member *nextTarget(MembershipState &S, std::mt19937_64 &Random) {
+  bool Remote = ++S.ProbeCount % S.Options.RemoteProbeEvery == 0;
+  for (int Try = 0; Try < 2; ++Try, Remote = !Remote) {
+    auto &Order = Remote ? S.RemoteOrder : S.LocalOrder;
+    for (int Refill = 0; Refill < 2; ++Refill) {
+      while (!Order.empty()) {
+        auto It = S.Members.find(Order.back());
+        Order.pop_back();
+        if (It != S.Members.end() && isLive(It->second))
+          return &It->second;
+      }
+      for (const auto &[Id, M] : S.Members)
+        if (isLive(M) &&
+            (M.About.FailureDomain != S.Self.FailureDomain) == Remote)
+          Order.push_back(Id);
+      std::shuffle(Order.begin(), Order.end(), Random);
+    }
+  }
+  return nullptr;
+}
+
+static void startNextProbe(MembershipState &S, Instant Now,
+                           std::mt19937_64 &Random,
+                           MembershipActions &Actions) {
+  if (Now < S.NextProbe)
+    return;
+  S.NextProbe = Now + S.Options.ProbeInterval * (1 + S.LocalHealth / 2);
+  if (const Member *Target = nextTarget(S, Random))
+    startProbe(S,
+               Probe{Target->About.Id, {}, {}, {}, false, false, false, false},
+               Target->About.Address, Now, Actions);
+}
+
+static void expireSuspects(MembershipState &S, Instant Now,
+                           MembershipActions &Actions) {
+  if (S.Suspects == 0)
+    return;
+  for (auto &[Id, M] : S.Members)
+    if (M.About.State == MemberState::Suspect && Now >= M.SuspectUntil)
+      changeState(S, M, MemberState::Dead, Now, Actions);
+}
+
+/// Contacts one member that is dead or known only by its address, so that
+/// healed partitions merge.
+static void retryDead(MembershipState &S, Instant Now, std::mt19937_64 &Random,
+                      MembershipActions &Actions) {
+  if (Now < S.NextDeadRetry)
+    return;
+  S.NextDeadRetry = Now + S.Options.DeadRetryInterval / 2 +
+                    uniform(S.Options.DeadRetryInterval, Random);
+  std::erase_if(S.Members, [&](const auto &Entry) {
+    return Entry.second.About.State == MemberState::Dead &&
+           Now - Entry.second.Since > S.Options.DeadRetention;
+  });
+  std::vector<const MemberUpdate *> Candidates;
+  for (const auto &[Id, M] : S.Members)
+    if (M.About.State == MemberState::Dead)
+      Candidates.push_back(&M.About);
+  for (const MemberUpdate &Seed : S.Seeds)
+    if (Seed.Id != S.Self.Id && !S.Members.contains(Seed.Id))
+      Candidates.push_back(&Seed);
+  for (const MemberUpdate *U : sample(Candidates, 1, Random))
+    startProbe(S, Probe{U->Id, {}, {}, {}, true, true, false, false},
+               U->Address, Now, Actions);
+}
+
+static void requestView(MembershipState &S, Instant Now,
+                        std::mt19937_64 &Random, MembershipActions &Actions) {
+  if (S.Joined || Now < S.NextJoin)
+    return;
+  if (S.JoinRequestsLeft == 0) {
+    S.Joined = true;
+    return;
+  }
+  --S.JoinRequestsLeft;
+  S.NextJoin = Now + S.Options.JoinInterval / 2 +
+               uniform(S.Options.JoinInterval, Random);
+  std::vector<const MemberUpdate *> Candidates;
+  for (const Member *M : liveMembers(S))
+    Candidates.push_back(&M->About);
+  for (const MemberUpdate &Seed : S.Seeds)
+    if (Seed.Id != S.Self.Id && !S.Members.contains(Seed.Id))
+      Candidates.push_back(&Seed);
+  for (const MemberUpdate *U : sample(Candidates, 1, Random))
+    startProbe(S, Probe{U->Id, {}, {}, {}, true, false, true, false},
+               U->Address, Now, Actions);
+}
+
+/// Sends fresh updates to a few random members between the probes.
+static void gossip(MembershipState &S, Instant Now, std::mt19937_64 &Random,
+                   MembershipActions &Actions) {
+  if (Now < S.NextGossip)
+    return;
+  S.NextGossip = Now + S.Options.GossipInterval;
+  if (S.Outbox.empty() && S.SelfNews == 0)
+    return;
+  S.SelfNews -= std::min(S.SelfNews, S.Options.GossipFanout);
+  for (const Member *M : sample(liveMembers(S), S.Options.GossipFanout, Random))
+    Actions.emplace_back(
+        message(S, MemberMessageKind::Ack, M->About.Id, M->About.Address, 0));
+}
+
+static void answerPing(MembershipState &S, const ProxyId &From,
+                       const std::string &FromAddress, std::uint64_t ExchangeId,
+                       Instant Now, std::mt19937_64 &Random,
+                       MembershipActions &Actions) {
+  SendMemberMessage Ack =
+      message(S, MemberMessageKind::Ack, From, FromAddress, ExchangeId);
+  auto It = S.Members.find(From);
+  if (It != S.Members.end() && It->second.About.State == MemberState::Joining &&
+      It->second.JoinAnswers < S.Options.JoinAnswersPerMember &&
+      Now >= S.NextJoinAnswer) {
+    ++It->second.JoinAnswers;
+    S.NextJoinAnswer = Now + S.Options.JoinAnswerInterval;
+    Ack.Message.Updates = viewSegment(S, From, Random);
+  }
+  Actions.emplace_back(std::move(Ack));
+}
+
+static void relayPing(MembershipState &S, const ProxyId &From,
+                      const std::string &FromAddress,
+                      const MemberMessage &Message, Instant Now,
+                      MembershipActions &Actions) {
+  auto Target = S.Members.find(Message.Target);
+  if (Target == S.Members.end())
+    return;
+  std::uint64_t Exchange = S.NextExchange++;
+  S.Relays.emplace(Exchange, RelayedProbe{From, FromAddress, Message.ExchangeId,
+                                          Now + 4 * S.Options.ProbeTimeout});
+  Actions.emplace_back(message(S, MemberMessageKind::Ping, Message.Target,
+                               Target->second.About.Address, Exchange));
+}
+
+static void acked(MembershipState &S, const MemberMessage &Message,
+                  bool BroughtMembers, Instant Now,
+                  MembershipActions &Actions) {
+  if (auto It = S.Relays.find(Message.ExchangeId); It != S.Relays.end()) {
+    RelayedProbe R = std::move(It->second);
+    S.Relays.erase(It);
+    Actions.emplace_back(message(S, MemberMessageKind::Ack, R.Requester,
+                                 R.RequesterAddress, R.ExchangeId));
+    return;
+  }
+  auto It = S.Probes.find(Message.ExchangeId);
+  if (It == S.Probes.end())
+    return;
+  Probe P = std::move(It->second);
+  S.Probes.erase(It);
+  S.LocalHealth -= std::min(S.LocalHealth, 1U);
+  if (P.Retry)
+    S.NextDeadRetry = Now;
+  if (!P.Join || S.Joined)
+    return;
+  if (BroughtMembers)
+    S.QuietJoinAnswers = 0;
+  // An answer without the view, because of the rate limit, proves nothing.
+  else if (Message.Updates.size() >=
+           std::min<std::size_t>(S.Members.size(), 16))
+    ++S.QuietJoinAnswers;
+  S.Joined = S.QuietJoinAnswers >= S.Options.QuietJoinAnswers;
+}
+
+} // namespace detail
+
+std::size_t encodedSize(const MemberUpdate &U) {
+  // Tags and lengths of four strings and two numbers, and an incarnation.
+  constexpr std::size_t Overhead = 20;
+  return U.Id.size() + U.Address.size() + U.FailureDomain.size() +
+         U.OperatorAddress.size() + Overhead;
+}
+
+bool isLive(const Member &M) { return M.About.State != MemberState::Dead; }
+
+MembershipState makeMembership(MembershipOptions Options, MemberUpdate Self,
+                               std::vector<MemberUpdate> Seeds, Instant Now,
+                               std::mt19937_64 &Random) {
+  MembershipState S;
+  S.Options = Options;
+  S.Self = std::move(Self);
+  S.Self.State = MemberState::Joining;
+  addSeeds(S, Seeds);
+  S.Joined = S.Seeds.empty();
+  S.JoinRequestsLeft = std::min(Options.JoinRequests,
+                                static_cast<unsigned>(2 * S.Seeds.size() + 4));
+  S.NextJoin = Now + detail::uniform(Options.JoinJitter, Random);
+  S.NextProbe = Now + detail::uniform(Options.ProbeInterval, Random);
+  S.NextDeadRetry = Now + detail::uniform(Options.DeadRetryInterval, Random);
+  S.NextGossip = Now;
+  S.NextJoinAnswer = Now;
+  S.LastTick = Now;
+  S.LastReceived = Now;
+  return S;
+}
+
+void addSeeds(MembershipState &S, const std::vector<MemberUpdate> &Seeds) {
+  for (const MemberUpdate &Seed : Seeds) {
+    if (Seed.Id == S.Self.Id || S.Members.contains(Seed.Id))
+      continue;
+    auto It = std::find_if(S.Seeds.begin(), S.Seeds.end(),
+                           [&](const auto &Old) { return Old.Id == Seed.Id; });
+    if (It == S.Seeds.end())
+      S.Seeds.push_back(Seed);
+    else
+      *It = Seed;
+  }
+}
+
+MembershipActions tick(MembershipState &S, Instant Now,
+                       std::mt19937_64 &Random) {
+  MembershipActions Actions;
+  if (Now - S.LastTick > S.Options.PauseLimit)
+    Actions = pauseDetected(S, Now);
+  S.LastTick = Now;
+  std::erase_if(S.Relays, [&](const auto &R) { return Now >= R.second.Until; });
+  detail::requestView(S, Now, Random, Actions);
+  detail::runProbes(S, Now, Random, Actions);
+  detail::expireSuspects(S, Now, Actions);
+  detail::startNextProbe(S, Now, Random, Actions);
+  detail::retryDead(S, Now, Random, Actions);
+  detail::gossip(S, Now, Random, Actions);
+  return Actions;
+}
+
+MembershipActions received(MembershipState &S, const ProxyId &From,
+                           const std::string &FromAddress,
+                           const MemberMessage &Message, Instant Now,
+                           std::mt19937_64 &Random) {
+  MembershipActions Actions;
+  if (From == S.Self.Id)
+    return Actions;
+  S.LastReceived = Now;
+  bool BroughtMembers = false;
+  for (const MemberUpdate &U : Message.Updates)
+    BroughtMembers |= detail::apply(S, U, Now, Random, Actions);
+  switch (Message.Kind) {
+  case MemberMessageKind::Ping:
+    detail::answerPing(S, From, FromAddress, Message.ExchangeId, Now, Random,
+                       Actions);
+    break;
+  case MemberMessageKind::IndirectPing:
+    detail::relayPing(S, From, FromAddress, Message, Now, Actions);
+    break;
+  case MemberMessageKind::Ack:
+    detail::acked(S, Message, BroughtMembers, Now, Actions);
+    break;
+  }
+  return Actions;
+}
+
+MembershipActions announceReady(MembershipState &S, Instant Now) {
+  if (S.Self.State != MemberState::Joining)
+    return {};
+  S.Self.State = MemberState::Alive;
+  detail::announceSelf(S, Now);
+  return {};
+}
+
+MembershipActions pauseDetected(MembershipState &S, Instant Now) {
+  MembershipActions Actions;
+  S.Probes.clear();
+  S.Relays.clear();
+  detail::lowerHealth(S, S.Options.MaxLocalHealth / 2);
+  for (auto &[Id, M] : S.Members)
+    if (M.About.State == MemberState::Suspect)
+      M.SuspectUntil = Now + detail::suspicionTime(S);
+  if (S.Self.State != MemberState::Dead) {
+    detail::announceSelf(S, Now);
+    Actions.emplace_back(SelfRefuted{S.Self.Incarnation});
+  }
+  S.NextProbe = Now;
+  S.LastTick = Now;
+  S.LastReceived = Now;
+  return Actions;
+}
+
+MembershipActions announceLeaving(MembershipState &S, Instant Now) {
+  if (S.Self.State == MemberState::Dead)
+    return {};
+  S.Self.State = MemberState::Leaving;
+  detail::announceSelf(S, Now);
+  return {};
+}
+
+MembershipActions announceExit(MembershipState &S, Instant Now,
+                               std::mt19937_64 &Random) {
+  MembershipActions Actions;
+  S.Self.State = MemberState::Dead;
+  S.LastTick = Now;
+  for (const Member *M :
+       detail::sample(detail::liveMembers(S), detail::transmissions(S), Random))
+    Actions.emplace_back(detail::message(S, MemberMessageKind::Ack, M->About.Id,
+                                         M->About.Address, 0));
+  return Actions;
+}
+
+std::vector<LiveProxy> liveProxies(const MembershipState &S) {
+  std::vector<LiveProxy> Live;
+  if (S.Self.State == MemberState::Alive ||
+      S.Self.State == MemberState::Leaving)
+    Live.push_back({S.Self.Id, S.Self.FailureDomain,
+                    S.Self.State == MemberState::Leaving});
+  for (const auto &[Id, M] : S.Members)
+    if (isLive(M) && M.Ready)
+      Live.push_back({Id, M.About.FailureDomain, M.Leaving});
+  return Live;
+}
+
+std::vector<ProxyId> livePeers(const MembershipState &S) {
+  std::vector<ProxyId> Peers;
+  for (const Member *M : detail::liveMembers(S))
+    Peers.push_back(M->About.Id);
+  return Peers;
+}
+
+} // namespace eelgrassloom
--- /dev/null
+++ b/packages/kernel/src/ownership.cpp
@@ -0,0 +1,87 @@
+#include "kernel/ownership.h"
+#include <algorithm>
+#include <array>
+#include <xxhash.h>
+
+namespace eelgrassloom {
+namespace detail {
+
+static std::uint64_t hashOf(std::string_view Text) {
+  return XXH3_64bits(Text.data(), Text.size());
+}
+
+static std::uint64_t score(const HashedProxy &P, std::uint64_t KeyHash) {
+  std::array<std::uint64_t, 2> Both = {P.Hash, KeyHash};
+  return XXH3_64bits(Both.data(), sizeof(Both));
+}
+
+static const HashedProxy *winner(const std::vector<HashedProxy> &Candidates,
+                                 std::uint64_t KeyHash) {
+  const HashedProxy *Best = nullptr;
+  std::uint64_t BestScore = 0;
+  for (const HashedProxy &P : Candidates) {
+    std::uint64_t Score = score(P, KeyHash);
+    if (Best && (Score < BestScore || (Score == BestScore && Best->Id <= P.Id)))
+      continue;
+    Best = &P;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+} // namespace detail
+
+OwnerTable makeOwnerTable(const std::vector<LiveProxy> &Live) {
+  OwnerTable T;
+  bool AllLeaving = std::all_of(Live.begin(), Live.end(),
+                                [](const LiveProxy &P) { return P.Leaving; });
+  for (const LiveProxy &P : Live) {
+    if (P.Leaving && !AllLeaving)
+      continue;
+    detail::HashedProxy Hashed{P.Id, detail::hashOf(P.Id)};
+    T.ByFailureDomain[P.FailureDomain].push_back(Hashed);
+    T.All.push_back(Hashed);
+  }
+  return T;
+}
+
+const ProxyId *ownerOf(const OwnerTable &T, const Upstream &U) {
+  auto Domain = T.ByFailureDomain.find(U.FailureDomain);
+  const auto &Candidates =
+      Domain == T.ByFailureDomain.end() ? T.All : Domain->second;
+  const auto *Owner = detail::winner(Candidates, detail::hashOf(U.Id));
+  return Owner ? &Owner->Id : nullptr;
+}
+
+std::vector<ProxyId> watchersOf(const OwnerTable &T, const Database &D) {
+  std::vector<ProxyId> Watchers;
+  for (const Upstream &U : D.Upstreams)
+    if (const ProxyId *Owner = ownerOf(T, U))
+      Watchers.push_back(*Owner);
+  std::sort(Watchers.begin(), Watchers.end());
+  Watchers.erase(std::unique(Watchers.begin(), Watchers.end()), Watchers.end());
+  return Watchers;
+}
+
+std::vector<ProxyId> watchHolders(const OwnerTable &T,
+                                  unsigned PerFailureDomain) {
+  std::uint64_t Key = detail::hashOf("platform watch");
+  std::vector<ProxyId> Holders;
+  for (const auto &[Domain, Proxies] : T.ByFailureDomain) {
+    std::vector<detail::HashedProxy> Ranked = Proxies;
+    std::sort(Ranked.begin(), Ranked.end(), [&](const auto &A, const auto &B) {
+      return std::pair(detail::score(A, Key), B.Id) >
+             std::pair(detail::score(B, Key), A.Id);
+    });
+    for (std::size_t I = 0; I < Ranked.size() && I < PerFailureDomain; ++I)
+      Holders.push_back(Ranked[I].Id);
+  }
+  std::sort(Holders.begin(), Holders.end());
+  return Holders;
+}
+
+unsigned connectionQuota(const Upstream &U) {
+  return std::max(1U, U.ConnectionCap / 3);
+}
+
+} // namespace eelgrassloom
--- /dev/null
+++ b/packages/kernel/src/spread.cpp
@@ -0,0 +1,270 @@
+#include "kernel/spread.h"
+#include <algorithm>
+#include <xxhash.h>
+
+namespace eelgrassloom {
+namespace detail {
+
+static std::size_t rangeOf(std::string_view Key) {
+  constexpr unsigned RangeBits = 6;
+  static_assert(1U << RangeBits == DigestRanges);
+  return XXH3_64bits(Key.data(), Key.size()) >> (64 - RangeBits);
+}
+
+static std::uint64_t versionHash(std::string_view Key, std::uint64_t Version) {
+  return XXH3_64bits_withSeed(Key.data(), Key.size(), Version);
+}
+
+/// Bytes of an item in a message.
+static std::size_t encodedSize(const Item &I) {
+  constexpr std::size_t Overhead = 12;
+  return I.Key.size() + I.Value.size() + Overhead;
+}
+
+static std::size_t encodedSize(const ItemVersion &V) {
+  constexpr std::size_t Overhead = 10;
+  return V.Key.size() + Overhead;
+}
+
+/// True if the item is newer than the stored one and was stored.
+static bool store(SpreadState &S, const Item &New) {
+  auto It = S.Items.find(New.Key);
+  std::size_t Range = rangeOf(New.Key);
+  if (It == S.Items.end()) {
+    It = S.Items.emplace(New.Key, New).first;
+    S.Ranges[Range].push_back(&It->second);
+  } else {
+    if (New.Version <= It->second.Version)
+      return false;
+    S.RangeHash[Range] ^= versionHash(New.Key, It->second.Version);
+    It->second = New;
+  }
+  S.RangeHash[Range] ^= versionHash(New.Key, New.Version);
+  return true;
+}
+
+static void pushTo(SpreadState &S, std::vector<Item> Items,
+                   std::vector<ProxyId> Peers, const ProxyId &Except,
+                   std::mt19937_64 &Random, SpreadActions &Actions) {
+  std::erase(Peers, Except);
+  std::size_t Count = std::min<std::size_t>(S.Options.Fanout, Peers.size());
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::swap(Peers[I], Peers[std::uniform_int_distribution<std::size_t>(
+                            I, Peers.size() - 1)(Random)]);
+    Actions.emplace_back(SendItems{Peers[I], {Items, {}}});
+  }
+}
+
+/// Stores what is newer; returns it.
+static std::vector<Item> storeAll(SpreadState &S, const std::vector<Item> &From,
+                                  SpreadActions &Actions) {
+  std::vector<Item> Stored;
+  for (const Item &I : From)
+    if (store(S, I)) {
+      Stored.push_back(I);
+      Actions.emplace_back(ItemChanged{I.Key, I.Version});
+    }
+  return Stored;
+}
+
+/// Adds an item unless the message is full; the first always fits.
+static bool addBounded(std::vector<Item> &Items, std::size_t &Used,
+                       std::size_t Limit, const Item &I) {
+  std::size_t Size = encodedSize(I);
+  if (!Items.empty() && Used + Size > Limit)
+    return false;
+  Used += Size;
+  Items.push_back(I);
+  return true;
+}
+
+/// Versions of the ranges that differ, as many whole ranges as fit.
+static SpreadDigest answerDigest(const SpreadState &S,
+                                 const SpreadDigest &Theirs) {
+  SpreadDigest Answer;
+  Answer.Answer = true;
+  Answer.RangeHash = Theirs.RangeHash;
+  std::size_t Used = 0;
+  bool Full = false;
+  for (std::size_t R = 0; R < DigestRanges; ++R) {
+    if (Theirs.RangeHash[R] == S.RangeHash[R])
+      continue;
+    std::size_t Size = 0;
+    for (const Item *I : S.Ranges[R])
+      Size += encodedSize(ItemVersion{I->Key, I->Version});
+    Full = Full || (Used > 0 && Used + Size > S.Options.MessageBytes);
+    if (Full)
+      break;
+    Used += Size;
+    Answer.RangeHash[R] = S.RangeHash[R];
+    for (const Item *I : S.Ranges[R])
+      Answer.Versions.push_back({I->Key, I->Version});
+  }
+  return Answer;
+}
+
+/// Items that the sender of an answered digest lacks, and keys wanted from it.
+static SpreadPush reconcile(const SpreadState &S, const SpreadDigest &Answer) {
+  SpreadPush Push;
+  std::map<std::string_view, std::uint64_t> Theirs;
+  for (const ItemVersion &V : Answer.Versions)
+    Theirs.emplace(V.Key, V.Version);
+  std::size_t Used = 0;
+  for (std::size_t R = 0; R < DigestRanges; ++R) {
+    if (Answer.RangeHash[R] == S.RangeHash[R])
+      continue;
+    for (const Item *I : S.Ranges[R]) {
+      auto It = Theirs.find(I->Key);
+      if ((It == Theirs.end() || It->second < I->Version) &&
+          !addBounded(Push.Items, Used, S.Options.MessageBytes, *I))
+        break;
+    }
+  }
+  std::size_t WantedUsed = 0;
+  for (const ItemVersion &V : Answer.Versions) {
+    const Item *Mine = find(S, V.Key);
+    if (Mine && Mine->Version >= V.Version)
+      continue;
+    WantedUsed += encodedSize(V);
+    if (WantedUsed > S.Options.MessageBytes)
+      break;
+    Push.Wanted.push_back(V.Key);
+  }
+  return Push;
+}
+
+constexpr std::size_t HeaderHashBytes = 8;
+
+static std::uint64_t partHash(std::string_view Name, std::string_view Value) {
+  return XXH3_64bits_withSeed(Value.data(), Value.size(),
+                              XXH3_64bits(Name.data(), Name.size()));
+}
+
+static std::string encodeHash(std::uint64_t Hash) {
+  std::string Bytes;
+  for (std::size_t I = 0; I < HeaderHashBytes; ++I)
+    Bytes.push_back(static_cast<char>(Hash >> (8 * I) & 0xff));
+  return Bytes;
+}
+
+/// Calls \p Use with name and item of each part under the root.
+template <class F>
+static void forParts(const SpreadState &S, std::string_view Root, F Use) {
+  std::string Prefix = std::string(Root) + "/";
+  for (auto It = S.Items.lower_bound(Prefix);
+       It != S.Items.end() && It->first.starts_with(Prefix); ++It)
+    Use(std::string_view(It->first).substr(Prefix.size()), It->second);
+}
+
+} // namespace detail
+
+const Item *find(const SpreadState &S, std::string_view Key) {
+  auto It = S.Items.find(Key);
+  return It == S.Items.end() ? nullptr : &It->second;
+}
+
+SpreadActions put(SpreadState &S, std::vector<Item> Items,
+                  const std::vector<ProxyId> &Peers, std::mt19937_64 &Random) {
+  SpreadActions Actions;
+  std::vector<Item> Stored = detail::storeAll(S, Items, Actions);
+  if (!Stored.empty() && Stored.size() <= S.Options.PassOnItems)
+    detail::pushTo(S, std::move(Stored), Peers, ProxyId(), Random, Actions);
+  return Actions;
+}
+
+SpreadActions tick(SpreadState &S, const std::vector<ProxyId> &Peers,
+                   Instant Now, std::mt19937_64 &Random) {
+  SpreadActions Actions;
+  if (Now < S.NextDigest || Peers.empty())
+    return Actions;
+  S.NextDigest = Now + S.Options.DigestInterval;
+  std::size_t Pick =
+      std::uniform_int_distribution<std::size_t>(0, Peers.size() - 1)(Random);
+  Actions.emplace_back(SendDigest{
+      Peers[Pick], {{S.RangeHash.begin(), S.RangeHash.end()}, {}, false}});
+  return Actions;
+}
+
+SpreadActions received(SpreadState &S, const ProxyId &From,
+                       const SpreadDigest &Digest) {
+  SpreadActions Actions;
+  if (Digest.RangeHash.size() != DigestRanges ||
+      std::equal(S.RangeHash.begin(), S.RangeHash.end(),
+                 Digest.RangeHash.begin()))
+    return Actions;
+  if (!Digest.Answer) {
+    Actions.emplace_back(SendDigest{From, detail::answerDigest(S, Digest)});
+    return Actions;
+  }
+  SpreadPush Push = detail::reconcile(S, Digest);
+  if (!Push.Items.empty() || !Push.Wanted.empty())
+    Actions.emplace_back(SendItems{From, std::move(Push)});
+  return Actions;
+}
+
+SpreadActions received(SpreadState &S, const ProxyId &From,
+                       const SpreadPush &Push,
+                       const std::vector<ProxyId> &Peers,
+                       std::mt19937_64 &Random) {
+  SpreadActions Actions;
+  std::vector<Item> Stored = detail::storeAll(S, Push.Items, Actions);
+  if (Push.Items.size() > S.Options.PassOnItems)
+    // A bulk transfer: more may be missing, so compare again at the next tick.
+    S.NextDigest = Instant();
+  else if (!Stored.empty())
+    detail::pushTo(S, std::move(Stored), Peers, From, Random, Actions);
+  SpreadPush Answer;
+  std::size_t Used = 0;
+  for (const std::string &Key : Push.Wanted) {
+    const Item *I = find(S, Key);
+    if (I &&
+        !detail::addBounded(Answer.Items, Used, S.Options.MessageBytes, *I))
+      break;
+  }
+  if (!Answer.Items.empty())
+    Actions.emplace_back(SendItems{From, std::move(Answer)});
+  return Actions;
+}
+
+std::vector<Item> split(const SpreadState &S, std::string_view Root,
+                        const Parted &Value) {
+  std::vector<Item> Items;
+  std::uint64_t Hash = 0;
+  std::map<std::string_view, const Part *> Names;
+  for (const Part &P : Value.Parts) {
+    Hash += detail::partHash(P.Name, P.Value);
+    Names.emplace(P.Name, &P);
+    std::string Key = std::string(Root) + "/" + P.Name;
+    const Item *Stored = find(S, Key);
+    if (!Stored || Stored->Value != P.Value)
+      Items.push_back({std::move(Key), Value.Version, P.Value});
+  }
+  detail::forParts(S, Root, [&](std::string_view Name, const Item &Stored) {
+    if (!Stored.Value.empty() && !Names.contains(Name))
+      Items.push_back({Stored.Key, Value.Version, std::string()});
+  });
+  Items.push_back({std::string(Root), Value.Version,
+                   detail::encodeHash(Hash) + Value.Header});
+  return Items;
+}
+
+std::optional<Parted> assemble(const SpreadState &S, std::string_view Root) {
+  const Item *Header = find(S, Root);
+  if (!Header || Header->Value.size() < detail::HeaderHashBytes)
+    return std::nullopt;
+  Parted Value;
+  Value.Version = Header->Version;
+  Value.Header = Header->Value.substr(detail::HeaderHashBytes);
+  std::uint64_t Hash = 0;
+  detail::forParts(S, Root, [&](std::string_view Name, const Item &Stored) {
+    if (Stored.Value.empty())
+      return;
+    Hash += detail::partHash(Name, Stored.Value);
+    Value.Parts.push_back({std::string(Name), Stored.Value});
+  });
+  if (!Header->Value.starts_with(detail::encodeHash(Hash)))
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace eelgrassloom
