--- a/packages/kernel/src/failover.cpp
+++ b/packages/kernel/src/failover.cpp
@@ -158,6 +158,7 @@
   S.Current.Reason = Reason;
   S.Current.Id = freshNonce(C.Random);
   S.Current.Started = C.Now;
+  S.Current.OldPrimary = S.Record.Primary;
   if (Reason != AttemptReason::Unreachable) {
     C.note(FailoverNoteKind::AttemptStarted);
     survey(C);
@@ -230,16 +231,20 @@
   return Best->first;
 }
 
-/// True once a majority answered and waiting for the others is over.
+/// True once a majority answered and waiting for the others is over. Nobody
+/// waits for a primary that is unreachable.
 static bool gathered(Step &C) {
   Attempt &A = C.S.Current;
-  std::size_t Upstreams = C.S.Group.Upstreams.size();
-  if (A.Answers.size() < majority(Upstreams))
+  std::size_t Expected = C.S.Group.Upstreams.size();
+  if (A.Answers.size() < majority(Expected))
     return false;
   if (!A.MajorityAt)
     A.MajorityAt = C.Now;
-  return A.Answers.size() + A.Failed.size() >= Upstreams ||
-         C.Now - *A.MajorityAt >= C.S.Options.GatherTime;
+  std::size_t Done = A.Answers.size() + A.Failed.size();
+  if (A.Reason == AttemptReason::Unreachable && !A.OldPrimary.empty() &&
+      !A.Answers.contains(A.OldPrimary) && !A.Failed.contains(A.OldPrimary))
+    ++Done;
+  return Done >= Expected || C.Now - *A.MajorityAt >= C.S.Options.GatherTime;
 }
 
 /// A planned promotion starts only if a replica can catch up quickly.
@@ -301,9 +306,8 @@
 
 static void claimed(Step &C, std::uint64_t Revision) {
   FailoverState &S = C.S;
-  UpstreamId Old = S.Record.Primary;
+  const UpstreamId &Old = S.Current.OldPrimary;
   S.Current.Revision = Revision;
-  S.Current.OldPrimary = Old;
   adopt(C, S.Current.Target);
   C.note(FailoverNoteKind::Claimed);
   if (S.Current.Reason != AttemptReason::Planned ||
