--- /dev/null
+++ b/packages/kernel/test/fleet.h
@@ -0,0 +1,271 @@
+/// \file
+/// Many kernel instances in one process: membership and item dissemination
+/// over an in-memory network with virtual time.
+
+#ifndef EELGRASSLOOM_KERNEL_TEST_FLEET_H
+#define EELGRASSLOOM_KERNEL_TEST_FLEET_H
+
+#include "kernel/membership.h"
+#include "kernel/spread.h"
+#include "schedule.h"
+#include <ctime>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace eelgrassloom {
+
+struct FleetOptions {
+  std::size_t Nodes = 8;
+  std::size_t Domains = 4;
+  double Loss = 0;
+  Duration LocalDelay = std::chrono::microseconds(300);
+  Duration RemoteDelay = std::chrono::microseconds(1500);
+  Duration TickInterval = std::chrono::milliseconds(100);
+  std::size_t Seeds = 10;
+  MembershipOptions Membership;
+  SpreadOptions Spread;
+};
+
+/// CPU time of this thread.
+inline std::uint64_t threadCpuNanos() {
+  timespec T{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &T);
+  return static_cast<std::uint64_t>(T.tv_sec) * 1000000000U +
+         static_cast<std::uint64_t>(T.tv_nsec);
+}
+
+struct FleetNode {
+  MembershipState Members;
+  SpreadState Items;
+  std::mt19937_64 Random;
+  bool Up = false;
+  bool Paused = false;
+  unsigned Epoch = 0;
+  std::vector<ProxyId> Peers;
+  std::vector<std::function<void()>> Backlog;
+  std::uint64_t BytesSent = 0;
+  std::uint64_t Messages = 0;
+  std::uint64_t CpuNanos = 0;
+  std::uint64_t LargestUpdates = 0;
+};
+
+class Fleet {
+public:
+  /// Protobuf header, ZeroMQ frame, TCP and IP headers of one message.
+  static constexpr std::size_t MessageOverhead = 120;
+
+  Fleet(FleetOptions O, std::uint64_t Seed)
+      : Options(std::move(O)), Random(Seed), Nodes(Options.Nodes) {
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      Nodes[I].Random.seed(Seed * 7919 + I);
+  }
+
+  /// Charges the CPU time of a kernel call to a node.
+  template <class F> auto measured(FleetNode &N, F Call) {
+    std::uint64_t Start = threadCpuNanos();
+    auto Actions = Call();
+    N.CpuNanos += threadCpuNanos() - Start;
+    return Actions;
+  }
+
+  ProxyId id(std::size_t I) const { return "proxy-" + std::to_string(I); }
+  static std::size_t indexOf(const ProxyId &Id) {
+    return std::stoul(Id.substr(Id.find('-') + 1));
+  }
+  std::size_t domain(std::size_t I) const { return I % Options.Domains; }
+
+  MemberUpdate self(std::size_t I) const {
+    MemberUpdate U;
+    U.Id = id(I);
+    U.Address = "10.20." + std::to_string(I / 250) + "." +
+                std::to_string(I % 250 + 1) + ":7400";
+    U.FailureDomain = "domain-" + std::to_string(domain(I));
+    U.OperatorAddress = U.Address;
+    U.Incarnation =
+        static_cast<std::uint64_t>(toMillis(Time.Now.time_since_epoch()));
+    return U;
+  }
+
+  void start(std::size_t I) {
+    FleetNode &N = Nodes[I];
+    std::vector<MemberUpdate> Seeds;
+    for (std::size_t S = 0; S < Options.Seeds; ++S)
+      if (std::size_t Other = Random() % Nodes.size(); Other != I)
+        Seeds.push_back(self(Other));
+    N.Members =
+        makeMembership(Options.Membership, self(I), Seeds, Time.Now, N.Random);
+    N.Items = SpreadState();
+    N.Items.Options = Options.Spread;
+    N.Peers.clear();
+    N.Up = true;
+    unsigned Epoch = ++N.Epoch;
+    Time.after(between(Random, Duration(0), Options.TickInterval),
+               [=, this] { tick(I, Epoch); });
+  }
+  void startAll() {
+    for (std::size_t I = 0; I < Nodes.size(); ++I)
+      start(I);
+  }
+
+  void crash(std::size_t I) {
+    Nodes[I].Up = false;
+    ++Nodes[I].Epoch;
+  }
+
+  /// Stops a process; what arrives meanwhile is handled afterwards.
+  void pause(std::size_t I, Duration D) {
+    Nodes[I].Paused = true;
+    Time.after(D, [=, this] {
+      Nodes[I].Paused = false;
+      for (const auto &Call : std::exchange(Nodes[I].Backlog, {}))
+        Call();
+    });
+  }
+
+  void put(std::size_t I, std::vector<Item> Items) {
+    FleetNode &N = Nodes[I];
+    perform(I, measured(N, [&] {
+              return eelgrassloom::put(N.Items, std::move(Items), N.Peers,
+                                       N.Random);
+            }));
+  }
+
+  template <class Actions> void perform(std::size_t I, Actions All) {
+    for (auto &A : All)
+      std::visit([&](auto &Action) { act(I, Action); }, A);
+  }
+
+  /// Live members in the view of a node, without itself.
+  std::size_t liveIn(std::size_t I) const { return Nodes[I].Peers.size(); }
+
+  /// True if every running node sees exactly the running nodes.
+  bool converged() const {
+    std::size_t Up = 0;
+    for (const FleetNode &N : Nodes)
+      Up += N.Up ? 1 : 0;
+    for (const FleetNode &N : Nodes) {
+      if (!N.Up)
+        continue;
+      if (N.Peers.size() + 1 != Up)
+        return false;
+      for (const auto &[Id, M] : N.Members.Members)
+        if (isLive(M) != Nodes[indexOf(Id)].Up)
+          return false;
+    }
+    return true;
+  }
+
+  /// Virtual time until the condition holds, at most \p Limit.
+  template <class Condition>
+  Duration runUntilTrue(Condition C, Duration Limit,
+                        Duration Step = std::chrono::milliseconds(50)) {
+    Instant Start = Time.Now;
+    while (!C() && Time.Now - Start < Limit)
+      Time.runFor(Step);
+    return Time.Now - Start;
+  }
+
+  FleetOptions Options;
+  std::mt19937_64 Random;
+  Schedule Time;
+  std::vector<FleetNode> Nodes;
+  /// True if no message passes between two nodes.
+  std::function<bool(std::size_t, std::size_t)> Cut;
+  std::function<void(std::size_t, const MemberChanged &)> OnMember;
+  std::function<void(std::size_t, const ItemChanged &)> OnItem;
+
+private:
+  void tick(std::size_t I, unsigned Epoch) {
+    FleetNode &N = Nodes[I];
+    if (!N.Up || N.Epoch != Epoch)
+      return;
+    if (!N.Paused) {
+      perform(I, measured(N, [&] {
+                return eelgrassloom::tick(N.Members, Time.Now, N.Random);
+              }));
+      if (N.Members.Joined)
+        eelgrassloom::announceReady(N.Members, Time.Now);
+      perform(I, measured(N, [&] {
+                return eelgrassloom::tick(N.Items, N.Peers, Time.Now, N.Random);
+              }));
+    }
+    Time.after(Options.TickInterval, [=, this] { tick(I, Epoch); });
+  }
+
+  /// Sends bytes; the call runs at the receiver unless the message is lost.
+  void send(std::size_t From, std::size_t To, std::size_t Bytes,
+            std::function<void()> Deliver) {
+    Nodes[From].BytesSent += Bytes + MessageOverhead;
+    ++Nodes[From].Messages;
+    if (chance(Random, Options.Loss) || (Cut && Cut(From, To)))
+      return;
+    Duration Delay =
+        domain(From) == domain(To) ? Options.LocalDelay : Options.RemoteDelay;
+    Delay += between(Random, Duration(0), Delay);
+    Time.after(Delay, [=, this, Deliver = std::move(Deliver)] {
+      FleetNode &N = Nodes[To];
+      if (!N.Up)
+        return;
+      if (N.Paused)
+        N.Backlog.push_back(Deliver);
+      else
+        Deliver();
+    });
+  }
+
+  void act(std::size_t I, SendMemberMessage &A) {
+    std::size_t Bytes = A.Message.Target.size();
+    for (const MemberUpdate &U : A.Message.Updates)
+      Bytes += encodedSize(U);
+    Nodes[I].LargestUpdates =
+        std::max<std::uint64_t>(Nodes[I].LargestUpdates, Bytes);
+    std::size_t To = indexOf(A.To);
+    send(I, To, Bytes, [=, this, M = std::move(A.Message)] {
+      FleetNode &N = Nodes[To];
+      perform(To, measured(N, [&] {
+                return received(N.Members, id(I), Nodes[I].Members.Self.Address,
+                                M, Time.Now, N.Random);
+              }));
+    });
+  }
+  void act(std::size_t I, const MemberChanged &A) {
+    Nodes[I].Peers = livePeers(Nodes[I].Members);
+    if (OnMember)
+      OnMember(I, A);
+  }
+  void act(std::size_t, const SelfRefuted &) {}
+
+  void act(std::size_t I, SendDigest &A) {
+    std::size_t Bytes = A.Digest.RangeHash.size() * 8;
+    for (const ItemVersion &V : A.Digest.Versions)
+      Bytes += V.Key.size() + 10;
+    std::size_t To = indexOf(A.To);
+    send(I, To, Bytes, [=, this, D = std::move(A.Digest)] {
+      FleetNode &N = Nodes[To];
+      perform(To, measured(N, [&] { return received(N.Items, id(I), D); }));
+    });
+  }
+  void act(std::size_t I, SendItems &A) {
+    std::size_t Bytes = 0;
+    for (const Item &It : A.Push.Items)
+      Bytes += It.Key.size() + It.Value.size() + 12;
+    for (const std::string &Key : A.Push.Wanted)
+      Bytes += Key.size() + 2;
+    std::size_t To = indexOf(A.To);
+    send(I, To, Bytes, [=, this, P = std::move(A.Push)] {
+      FleetNode &N = Nodes[To];
+      perform(To, measured(N, [&] {
+                return received(N.Items, id(I), P, N.Peers, N.Random);
+              }));
+    });
+  }
+  void act(std::size_t I, const ItemChanged &A) {
+    if (OnItem)
+      OnItem(I, A);
+  }
+};
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_TEST_FLEET_H
--- /dev/null
+++ b/packages/kernel/test/membership-test.cpp
@@ -0,0 +1,195 @@
+#include "fleet.h"
+#include "kernel/membership.h"
+#include <doctest/doctest.h>
+
+using namespace eelgrassloom;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+Fleet startedFleet(std::size_t Nodes, std::uint64_t Seed, double Loss = 0) {
+  FleetOptions O;
+  O.Nodes = Nodes;
+  O.Loss = Loss;
+  return Fleet(O, Seed);
+}
+
+MemberState stateIn(const Fleet &F, std::size_t Viewer, std::size_t Of) {
+  return F.Nodes[Viewer].Members.Members.at(F.id(Of)).About.State;
+}
+
+} // namespace
+
+// Guards against proxies that never learn of each other from a few seeds.
+TEST_CASE("a fleet that starts at once finds itself") {
+  for (std::size_t Nodes : {2, 8, 64}) {
+    Fleet F = startedFleet(Nodes, 3);
+    F.startAll();
+    Duration Took = F.runUntilTrue([&] { return F.converged(); }, seconds(30));
+    MESSAGE(Nodes, " nodes: ", toMillis(Took), " ms");
+    CHECK(F.converged());
+  }
+}
+
+// Guards against a crash that is noticed too late or not by everybody.
+TEST_CASE("a crash is seen by every member") {
+  CHECK(holds(11, 20, [](std::uint64_t Seed) {
+    Fleet F = startedFleet(8, Seed);
+    F.startAll();
+    F.Time.runFor(seconds(10));
+    RC_ASSERT(F.converged());
+    F.crash(Seed % 8);
+    RC_ASSERT(F.runUntilTrue([&] { return F.converged(); }, seconds(20)) <
+              seconds(8));
+  }));
+}
+
+// Guards against healthy members that are declared dead because of loss.
+TEST_CASE("false suspicions stay low at 10% loss") {
+  Fleet F = startedFleet(64, 5, 0.1);
+  F.startAll();
+  F.Time.runFor(seconds(30));
+  unsigned Suspected = 0;
+  unsigned Dead = 0;
+  F.OnMember = [&](std::size_t, const MemberChanged &C) {
+    Suspected += C.Now.State == MemberState::Suspect ? 1 : 0;
+    Dead += C.Now.State == MemberState::Dead ? 1 : 0;
+  };
+  F.Time.runFor(seconds(120));
+  double PerMemberHour = Suspected / 64.0 / 64.0 * 30;
+  MESSAGE("suspicions per view of a member and hour: ", PerMemberHour);
+  CHECK(Dead == 0);
+  // A suspicion every 10 minutes, refuted in time, is harmless.
+  CHECK(PerMemberHour < 60);
+}
+
+// Guards against a thawed process that believes its old timers: it must
+// announce itself again and accuse nobody.
+TEST_CASE("a member that was paused for long refutes and accuses nobody") {
+  CHECK(holds(13, 10, [](std::uint64_t Seed) {
+    Fleet F = startedFleet(8, Seed);
+    F.startAll();
+    F.Time.runFor(seconds(10));
+    std::size_t Paused = Seed % 8;
+    F.pause(Paused, seconds(15));
+    F.Time.runFor(seconds(14));
+    RC_ASSERT(stateIn(F, (Paused + 1) % 8, Paused) == MemberState::Dead);
+    unsigned Accused = 0;
+    F.OnMember = [&](std::size_t, const MemberChanged &C) {
+      Accused += C.Now.State == MemberState::Dead ? 1 : 0;
+    };
+    F.Time.runFor(seconds(1));
+    RC_ASSERT(F.runUntilTrue([&] { return F.converged(); }, seconds(20)) <
+              seconds(5));
+    F.Time.runFor(seconds(10));
+    RC_ASSERT(Accused == 0U);
+  }));
+}
+
+// Guards against halves that stay apart after a partition, because dead
+// members are no longer contacted.
+TEST_CASE("views converge after a healed partition") {
+  CHECK(holds(17, 6, [](std::uint64_t Seed) {
+    Fleet F = startedFleet(32, Seed, 0.02);
+    F.startAll();
+    F.Time.runFor(seconds(10));
+    F.Cut = [&](std::size_t A, std::size_t B) {
+      return (F.domain(A) < 2) != (F.domain(B) < 2);
+    };
+    F.Time.runFor(seconds(120));
+    RC_ASSERT(F.liveIn(0) == 15U);
+    F.Cut = nullptr;
+    RC_ASSERT(F.runUntilTrue([&] { return F.converged(); }, seconds(90)) <
+              seconds(30));
+  }));
+}
+
+// Guards against messages that grow with the fleet or with the churn.
+TEST_CASE("updates of a message are bounded") {
+  Fleet F = startedFleet(200, 19);
+  F.Options.Membership.JoinBytes = 2000;
+  F.startAll();
+  F.Time.runFor(seconds(30));
+  for (FleetNode &N : F.Nodes) {
+    CHECK(N.LargestUpdates <= 2100);
+    N.LargestUpdates = 0;
+  }
+  for (std::size_t I = 0; I < 50; ++I)
+    F.crash(4 * I);
+  F.Time.runFor(seconds(30));
+  CHECK(F.converged());
+  for (const FleetNode &N : F.Nodes)
+    CHECK(N.LargestUpdates <= 820);
+}
+
+// Guards against views that depend on the order in which updates arrive.
+TEST_CASE("updates in any order give the same view") {
+  CHECK(holds(23, 100, [](std::uint64_t Seed) {
+    std::mt19937_64 Random(Seed);
+    constexpr std::array<MemberState, 3> States = {
+        MemberState::Alive, MemberState::Suspect, MemberState::Dead};
+    std::vector<MemberUpdate> Updates;
+    for (int I = 0; I < 30; ++I)
+      Updates.push_back({"m" + std::to_string(Random() % 3), "a", "d", "o",
+                         States[Random() % 3], 1 + Random() % 4});
+    auto View = [&] {
+      Instant Now(seconds(1));
+      MembershipState S =
+          makeMembership({}, {"self", "a", "d", "o"}, {}, Now, Random);
+      // A dead member is not introduced by gossip, so all start known.
+      MemberMessage M{MemberMessageKind::Ack, 0, "", {}};
+      for (const char *Id : {"m0", "m1", "m2"})
+        M.Updates.push_back({Id, "a", "d", "o", MemberState::Alive, 0});
+      M.Updates.insert(M.Updates.end(), Updates.begin(), Updates.end());
+      received(S, "m0", "a", M, Now, Random);
+      std::vector<MemberUpdate> All;
+      for (const auto &[Id, Known] : S.Members)
+        All.push_back(Known.About);
+      return All;
+    };
+    auto First = View();
+    std::shuffle(Updates.begin(), Updates.end(), Random);
+    RC_ASSERT(View() == First);
+  }));
+}
+
+// Guards against a proxy without configuration that becomes an owner, and
+// against a leaving proxy that keeps its upstreams.
+TEST_CASE("joining proxies own nothing, leaving ones are marked") {
+  std::mt19937_64 Random(29);
+  Instant Now(seconds(1));
+  MembershipState S =
+      makeMembership({}, {"self", "a", "d", "o"}, {}, Now, Random);
+  CHECK(liveProxies(S).empty());
+  announceReady(S, Now);
+  REQUIRE(liveProxies(S).size() == 1);
+  MemberUpdate Other{"other", "a", "d", "o", MemberState::Joining, 1};
+  auto Tell = [&] {
+    MemberMessage M{MemberMessageKind::Ack, 0, "", {Other}};
+    received(S, "other", "a", M, Now, Random);
+  };
+  Tell();
+  CHECK(liveProxies(S).size() == 1);
+  CHECK(livePeers(S).size() == 1);
+  Other.State = MemberState::Leaving;
+  Other.Incarnation = 2;
+  Tell();
+  REQUIRE(liveProxies(S).size() == 2);
+  CHECK(liveProxies(S)[1].Leaving);
+  // A suspicion must not make a leaving proxy an owner again.
+  Other.State = MemberState::Suspect;
+  Tell();
+  CHECK(liveProxies(S)[1].Leaving);
+}
+
+// Guards against a wait for the suspicion time after an orderly exit.
+TEST_CASE("an announced exit is known at once") {
+  Fleet F = startedFleet(8, 31);
+  F.startAll();
+  F.Time.runFor(seconds(10));
+  F.perform(2, announceExit(F.Nodes[2].Members, F.Time.Now, F.Random));
+  F.crash(2);
+  CHECK(F.runUntilTrue([&] { return F.converged(); }, seconds(10)) <
+        seconds(1));
+}
--- /dev/null
+++ b/packages/kernel/test/ownership-test.cpp
@@ -0,0 +1,94 @@
+#include "kernel/ownership.h"
+#include "schedule.h"
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace eelgrassloom;
+
+namespace {
+
+std::vector<LiveProxy> proxies(std::size_t Count, std::size_t Domains) {
+  std::vector<LiveProxy> Live;
+  for (std::size_t I = 0; I < Count; ++I)
+    Live.push_back(
+        {"p" + std::to_string(I), "d" + std::to_string(I % Domains)});
+  return Live;
+}
+
+Upstream upstream(std::size_t I, std::size_t Domains) {
+  Upstream U;
+  U.Id = "u" + std::to_string(I);
+  U.FailureDomain = "d" + std::to_string(I % Domains);
+  return U;
+}
+
+} // namespace
+
+// Guards against a membership change that moves upstreams of other proxies and
+// so closes their connections.
+TEST_CASE("only the upstreams of a lost proxy move") {
+  CHECK(holds(41, 50, [](std::uint64_t Seed) {
+    std::size_t Count = 2 + Seed % 40;
+    std::vector<LiveProxy> Live = proxies(Count, 4);
+    OwnerTable Before = makeOwnerTable(Live);
+    ProxyId Lost = Live[Seed / 64 % Count].Id;
+    std::string Domain = Live[Seed / 64 % Count].FailureDomain;
+    std::erase_if(Live, [&](const LiveProxy &P) { return P.Id == Lost; });
+    OwnerTable After = makeOwnerTable(Live);
+    bool DomainLeft = After.ByFailureDomain.contains(Domain);
+    for (std::size_t I = 0; I < 200; ++I) {
+      Upstream U = upstream(I, 4);
+      ProxyId Old = *ownerOf(Before, U);
+      if (Old != Lost && (DomainLeft || U.FailureDomain != Domain))
+        RC_ASSERT(*ownerOf(After, U) == Old);
+      RC_ASSERT(*ownerOf(After, U) != Lost);
+    }
+  }));
+}
+
+// Guards against one proxy that owns far more than its share.
+TEST_CASE("upstreams are spread evenly over a failure domain") {
+  OwnerTable T = makeOwnerTable(proxies(800, 6));
+  std::map<ProxyId, unsigned> Owned;
+  for (std::size_t I = 0; I < 5100; ++I)
+    ++Owned[*ownerOf(T, upstream(I, 6))];
+  unsigned Most = 0;
+  for (const auto &[Id, Count] : Owned)
+    Most = std::max(Most, Count);
+  CHECK(Most <= 20);
+  CHECK(Owned.size() > 780);
+}
+
+// Guards against an upstream without owner while any proxy is live.
+TEST_CASE("an empty failure domain is served by the others") {
+  std::vector<LiveProxy> Live = proxies(4, 2);
+  Upstream Orphan = upstream(1, 1);
+  Orphan.FailureDomain = "elsewhere";
+  CHECK(ownerOf(makeOwnerTable(Live), Orphan) != nullptr);
+  CHECK(ownerOf(makeOwnerTable({}), Orphan) == nullptr);
+  // A leaving proxy owns only what nobody else can.
+  for (LiveProxy &P : Live)
+    P.Leaving = P.Id != "p3";
+  CHECK(*ownerOf(makeOwnerTable(Live), upstream(0, 2)) == "p3");
+  Live.back().Leaving = true;
+  CHECK(ownerOf(makeOwnerTable(Live), Orphan) != nullptr);
+}
+
+// Guards against more platform watches than planned, and against watchers that
+// are counted twice in a majority.
+TEST_CASE("watch holders and watchers are bounded and unique") {
+  OwnerTable T = makeOwnerTable(proxies(60, 6));
+  auto Holders = watchHolders(T, 2);
+  CHECK(Holders.size() == 12);
+  CHECK(std::adjacent_find(Holders.begin(), Holders.end()) == Holders.end());
+  Database D{"x", {upstream(0, 6), upstream(1, 6), upstream(2, 6)}};
+  CHECK(watchersOf(T, D).size() == 3);
+  CHECK(watchersOf(makeOwnerTable(proxies(1, 1)), D).size() == 1);
+}
+
+// Guards against three simultaneous owners that exceed the connection limit.
+TEST_CASE("three quotas fit into the connection limit") {
+  Upstream U;
+  for (U.ConnectionCap = 3; U.ConnectionCap < 100; ++U.ConnectionCap)
+    CHECK(3 * connectionQuota(U) <= U.ConnectionCap);
+}
