--- /dev/null
+++ b/packages/proxy/src/zmqpeers.cpp
@@ -0,0 +1,410 @@
+#include "proxy/zmqpeers.h"
+#include "peersocket.h"
+#include <cerrno>
+#include <list>
+#include <mutex>
+#include <optional>
+#include <pthread.h>
+#include <stdexcept>
+#include <sys/eventfd.h>
+#include <system_error>
+#include <thread>
+#include <unistd.h>
+
+namespace eelgrassloom {
+namespace detail {
+namespace {
+
+/// Commands that may wait for the transport thread.
+constexpr std::size_t CommandLimit = 10000;
+/// A peer socket without traffic for this long is closed.
+constexpr Duration IdleLimit = std::chrono::seconds(30);
+/// Messages without an answer wait this long for a connection.
+constexpr Duration SendPatience = std::chrono::seconds(1);
+/// Deadlines are checked at least this often.
+constexpr std::chrono::milliseconds LongestPoll{20};
+/// Longest accepted message: one item of 1 MB and its envelope, several times.
+constexpr std::int64_t LargestMessage = std::int64_t{8} << 20;
+/// Dropped messages are recorded as an event at most this often.
+constexpr Duration DropEventInterval = std::chrono::seconds(1);
+/// Messages read from one socket before the others get their turn.
+constexpr int ReadBatch = 200;
+
+/// An answer on the way back through the ROUTER socket.
+struct Reply {
+  std::string Route;
+  peer::v1::PeerMessage Message;
+};
+
+class WakeUp {
+public:
+  WakeUp() : Descriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+    if (Descriptor < 0)
+      throw std::system_error(errno, std::generic_category(), "eventfd");
+  }
+  ~WakeUp() { close(Descriptor); }
+  WakeUp(const WakeUp &) = delete;
+  WakeUp &operator=(const WakeUp &) = delete;
+
+  void signal() const {
+    std::uint64_t One = 1;
+    // Fails only when the counter is full, and then the thread wakes anyway.
+    (void)!write(Descriptor, &One, sizeof One);
+  }
+  void clear() const {
+    std::uint64_t Count = 0;
+    (void)!read(Descriptor, &Count, sizeof Count);
+  }
+  int descriptor() const { return Descriptor; }
+
+private:
+  int Descriptor;
+};
+
+/// Commands of other threads; shared so that responders may outlive the
+/// transport.
+struct Inbox {
+  std::mutex Mutex;
+  std::vector<Outgoing> Out;
+  std::vector<Reply> Replies;
+  /// Handlers of requests that found the queue full.
+  std::vector<PeerAnswerHandler> Refused;
+  PeerReceiver Receiver;
+  bool Stopping = false;
+  WakeUp Wake;
+};
+
+void post(Inbox &I, Outgoing &&O) {
+  {
+    std::lock_guard<std::mutex> Lock(I.Mutex);
+    if (I.Out.size() < CommandLimit && !I.Stopping)
+      I.Out.push_back(std::move(O));
+    else if (O.Done)
+      I.Refused.push_back(std::move(O.Done));
+  }
+  I.Wake.signal();
+}
+
+void post(Inbox &I, Reply &&R) {
+  {
+    std::lock_guard<std::mutex> Lock(I.Mutex);
+    // The requester times out, as it does when an answer is lost.
+    if (I.Replies.size() >= CommandLimit || I.Stopping)
+      return;
+    I.Replies.push_back(std::move(R));
+  }
+  I.Wake.signal();
+}
+
+class Transport final : public ZmqPeers {
+public:
+  explicit Transport(ZmqPeersContext C)
+      : Context(std::move(C)), Box(std::make_shared<Inbox>()),
+        Router(Zmq, zmq::socket_type::router),
+        Dropped(Context.Meters->counter(
+            "eelgrassloom_peer_messages_dropped_total",
+            "Peer messages that were malformed, foreign or of another "
+            "version")),
+        Late(Context.Meters->counter(
+            "eelgrassloom_peer_answers_late_total",
+            "Peer answers that matched no exchange in progress")) {
+    Router.set(zmq::sockopt::linger, 0);
+    Router.set(zmq::sockopt::maxmsgsize, LargestMessage);
+    Router.set(zmq::sockopt::sndhwm, static_cast<int>(CommandLimit));
+    Router.set(zmq::sockopt::rcvhwm, static_cast<int>(CommandLimit));
+    try {
+      Router.bind("tcp://" + Context.Self.Listen);
+    } catch (const zmq::error_t &E) {
+      throw std::runtime_error("cannot listen for peers at " +
+                               Context.Self.Listen + ": " + E.what());
+    }
+    Worker = std::thread([this] { run(); });
+    pthread_setname_np(Worker.native_handle(), "peers");
+  }
+
+  ~Transport() override { Transport::stop(); }
+  Transport(const Transport &) = delete;
+  Transport &operator=(const Transport &) = delete;
+
+  void receive(PeerReceiver Receiver) override {
+    std::lock_guard<std::mutex> Lock(Box->Mutex);
+    Box->Receiver = std::move(Receiver);
+  }
+
+  void send(const std::string &Address,
+            peer::v1::PeerMessage Message) override {
+    Message.set_exchange_id(0);
+    post(*Box, Outgoing{Address, std::move(Message), nullptr,
+                        Context.Time->now() + SendPatience});
+  }
+
+  void request(const std::string &Address, peer::v1::PeerMessage Message,
+               Duration Timeout, PeerAnswerHandler Done) override {
+    Message.set_exchange_id(NextExchange.fetch_add(1));
+    post(*Box, Outgoing{Address, std::move(Message), std::move(Done),
+                        Context.Time->now() + Timeout});
+  }
+
+  void stop() override {
+    {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Box->Stopping = true;
+    }
+    Box->Wake.signal();
+    if (Worker.joinable())
+      Worker.join();
+  }
+
+private:
+  using Sockets = std::list<PeerSocket>;
+
+  void run() {
+    while (!stopping()) {
+      poll();
+      takeCommands();
+      readRouter();
+      for (PeerSocket &P : Peers) {
+        readAnswers(P);
+        flush(P);
+      }
+      expireAll();
+    }
+    takeCommands();
+    for (PeerSocket &P : Peers) {
+      flush(P);
+      abandon(P);
+    }
+    Peers.clear();
+    Current.clear();
+  }
+
+  bool stopping() {
+    std::lock_guard<std::mutex> Lock(Box->Mutex);
+    return Box->Stopping;
+  }
+
+  void poll() {
+    std::vector<zmq::pollitem_t> Items = {
+        {nullptr, Box->Wake.descriptor(), ZMQ_POLLIN, 0},
+        {Router.handle(), 0, ZMQ_POLLIN, 0}};
+    for (PeerSocket &P : Peers) {
+      auto Wanted = P.Unsent.empty() ? ZMQ_POLLIN : ZMQ_POLLIN | ZMQ_POLLOUT;
+      Items.push_back({P.Socket.handle(), 0, static_cast<short>(Wanted), 0});
+    }
+    try {
+      zmq::poll(Items, LongestPoll);
+    } catch (const zmq::error_t &E) {
+      if (E.num() != EINTR)
+        throw;
+    }
+    Box->Wake.clear();
+  }
+
+  void takeCommands() {
+    std::vector<Outgoing> Out;
+    std::vector<Reply> Replies;
+    std::vector<PeerAnswerHandler> Refused;
+    {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Out.swap(Box->Out);
+      Replies.swap(Box->Replies);
+      Refused.swap(Box->Refused);
+    }
+    for (auto &Done : Refused)
+      Done(PeerCode::NotSent, peer::v1::PeerMessage());
+    for (Reply &R : Replies)
+      answer(R);
+    for (Outgoing &O : Out)
+      dispatch(std::move(O));
+  }
+
+  void stamp(peer::v1::PeerMessage &M) const {
+    M.set_fleet(Context.Self.Fleet);
+    M.set_protocol_version(PeerProtocolVersion);
+    M.set_from(Context.Self.Id);
+    M.set_incarnation(Context.Incarnation->load());
+    M.set_from_address(Context.Self.Listen);
+  }
+
+  void answer(Reply &R) {
+    stamp(R.Message);
+    std::string Bytes = R.Message.SerializeAsString();
+    // An unknown route or a full pipe loses the answer; the requester times
+    // out.
+    if (Router.send(zmq::buffer(R.Route), zmq::send_flags::sndmore |
+                                              zmq::send_flags::dontwait))
+      Router.send(zmq::buffer(Bytes), zmq::send_flags::dontwait);
+  }
+
+  PeerSocket &socketFor(const std::string &Address) {
+    auto It = Current.find(Address);
+    if (It != Current.end())
+      return *It->second;
+    Peers.push_back(openPeer(Zmq, Address));
+    Current[Address] = std::prev(Peers.end());
+    return Peers.back();
+  }
+
+  void dispatch(Outgoing &&O) {
+    stamp(O.Message);
+    try {
+      PeerSocket &P = socketFor(O.Address);
+      P.LastUsed = Context.Time->now();
+      if (enqueue(P, std::move(O)))
+        flush(P);
+    } catch (const zmq::error_t &) {
+      // The address can't be dialled. Answered like any unsent message.
+      if (O.Done)
+        O.Done(PeerCode::NotSent, peer::v1::PeerMessage());
+    }
+  }
+
+  /// Parses and checks a message; null if it was dropped.
+  std::optional<peer::v1::PeerMessage> parse(const zmq::message_t &Bytes) {
+    peer::v1::PeerMessage M;
+    const char *Fault = nullptr;
+    if (!M.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())))
+      Fault = "malformed";
+    else if (M.fleet() != Context.Self.Fleet)
+      Fault = "of another fleet";
+    else if (M.protocol_version() != PeerProtocolVersion)
+      Fault = "of another protocol version";
+    else if (M.from().empty() || M.from() == Context.Self.Id)
+      Fault = "without a valid sender";
+    else if (M.body_case() == peer::v1::PeerMessage::BODY_NOT_SET)
+      Fault = "without a body";
+    if (!Fault)
+      return M;
+    recordDrop(Fault);
+    return std::nullopt;
+  }
+
+  void recordDrop(const std::string &Fault) {
+    Dropped.Increment();
+    ++DroppedSinceEvent;
+    Instant Now = Context.Time->now();
+    if (LastDropEvent && Now - *LastDropEvent < DropEventInterval)
+      return;
+    LastDropEvent = Now;
+    Context.Events->record(events::PeerMessageDropped, {},
+                           "message " + Fault + "; " +
+                               std::to_string(DroppedSinceEvent) +
+                               " dropped since the last record");
+    DroppedSinceEvent = 0;
+  }
+
+  void readRouter() {
+    for (int I = 0; I < ReadBatch; ++I) {
+      zmq::message_t Route;
+      if (!Router.recv(Route, zmq::recv_flags::dontwait))
+        return;
+      zmq::message_t Bytes;
+      if (!Route.more() || !Router.recv(Bytes, zmq::recv_flags::dontwait)) {
+        recordDrop("without a payload");
+        continue;
+      }
+      if (!skipExtraFrames(Router, Bytes))
+        continue;
+      if (auto M = parse(Bytes))
+        deliver(Route.to_string(), *M);
+    }
+  }
+
+  /// Reads the rest of a message with too many frames; true if there was none.
+  bool skipExtraFrames(zmq::socket_t &Socket, const zmq::message_t &Last) {
+    if (!Last.more())
+      return true;
+    zmq::message_t Extra;
+    do {
+      if (!Socket.recv(Extra, zmq::recv_flags::dontwait))
+        break;
+    } while (Extra.more());
+    recordDrop("with extra frames");
+    return false;
+  }
+
+  void deliver(const std::string &Route, const peer::v1::PeerMessage &M) {
+    PeerReceiver Receiver;
+    {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Receiver = Box->Receiver;
+    }
+    if (!Receiver)
+      return;
+    auto Id = M.exchange_id();
+    Receiver(M, [Box = Box, Route, Id](peer::v1::PeerMessage Answer) {
+      if (Id == 0)
+        return;
+      Answer.set_exchange_id(Id);
+      post(*Box, Reply{Route, std::move(Answer)});
+    });
+  }
+
+  void readAnswers(PeerSocket &P) {
+    for (int I = 0; I < ReadBatch; ++I) {
+      zmq::message_t Bytes;
+      if (!P.Socket.recv(Bytes, zmq::recv_flags::dontwait))
+        return;
+      if (!skipExtraFrames(P.Socket, Bytes))
+        continue;
+      auto M = parse(Bytes);
+      if (!M)
+        continue;
+      auto It = P.Sent.find(M->exchange_id());
+      if (It == P.Sent.end()) {
+        Late.Increment();
+        continue;
+      }
+      PeerAnswerHandler Done = std::move(It->second.Done);
+      P.Sent.erase(It);
+      Done(PeerCode::Ok, *M);
+    }
+  }
+
+  void expireAll() {
+    Instant Now = Context.Time->now();
+    for (auto It = Peers.begin(); It != Peers.end();) {
+      PeerSocket &P = *It;
+      bool Idle = P.Sent.empty() && P.Unsent.empty();
+      if (expire(P, Now) || (Idle && Now - P.LastUsed > IdleLimit))
+        retire(P);
+      bool Closed = P.Retired && P.Sent.empty() && P.Unsent.empty();
+      It = Closed ? Peers.erase(It) : std::next(It);
+    }
+  }
+
+  /// New messages to the peer open a new socket; unsent ones move to it.
+  void retire(PeerSocket &P) {
+    if (P.Retired)
+      return;
+    P.Retired = true;
+    Current.erase(P.Address);
+    std::deque<Outgoing> Unsent = std::move(P.Unsent);
+    P.Unsent.clear();
+    for (Outgoing &O : Unsent)
+      dispatch(std::move(O));
+  }
+
+  ZmqPeersContext Context;
+  std::shared_ptr<Inbox> Box;
+  zmq::context_t Zmq{1};
+  zmq::socket_t Router;
+  prometheus::Counter &Dropped;
+  prometheus::Counter &Late;
+  Sockets Peers;
+  /// The socket that takes new messages, by address.
+  std::map<std::string, Sockets::iterator> Current;
+  std::optional<Instant> LastDropEvent;
+  std::uint64_t DroppedSinceEvent = 0;
+  std::atomic<std::uint64_t> NextExchange{1};
+  std::thread Worker;
+};
+
+} // namespace
+} // namespace detail
+
+std::shared_ptr<ZmqPeers> ZmqPeers::create(ZmqPeersContext Context) {
+  return std::make_shared<detail::Transport>(std::move(Context));
+}
+
+} // namespace eelgrassloom
