--- a/packages/proxy/include/proxy/configwire.h
+++ b/packages/proxy/include/proxy/configwire.h
@@ -5,9 +5,12 @@
 #define EELGRASSLOOM_PROXY_CONFIGWIRE_H
 
 #include "config.pb.h"
+#include "kernel/failover.h"
 #include "kernel/model.h"
+#include "kernel/plan.h"
 #include "kernel/position.h"
 #include "kernel/result.h"
+#include "operator.pb.h"
 #include "proxy/upstream.h"
 
 namespace eelgrassloom::configwire {
@@ -16,22 +19,23 @@
 Result<Configuration> configuration(const config::v1::Configuration &Wire);
 config::v1::Configuration wire(const Configuration &C);
 
-Result<WorkloadClass> workloadClass(const config::v1::WorkloadClass &Wire);
-Result<Database> database(const config::v1::Database &Wire);
+/// Checks only what the kernel form can't express.
+Result<Intent> intent(const operators::v1::Intent &Wire);
 
-/// Shares that are absent keep their value in \p Base.
-Result<PriorityShares>
-shares(const google::protobuf::RepeatedPtrField<config::v1::PriorityShare> &Wire,
-       PriorityShares Base);
+config::v1::Change wire(const Change &C);
+Change change(const config::v1::Change &Wire);
+
+config::v1::GroupRecord wire(const GroupRecord &R);
+GroupRecord group(const config::v1::GroupRecord &Wire);
 
 History
 history(const google::protobuf::RepeatedPtrField<types::v1::TermStart> &Wire);
-void setHistory(
-    google::protobuf::RepeatedPtrField<types::v1::TermStart> &Wire,
-    const History &Line);
+void setHistory(google::protobuf::RepeatedPtrField<types::v1::TermStart> &Wire,
+                const History &Line);
 
 types::v1::UpstreamStatus wire(const UpstreamStatus &S);
 UpstreamStatus status(const types::v1::UpstreamStatus &Wire);
+LogStatus logStatus(const UpstreamStatus &S);
 
 } // namespace eelgrassloom::configwire
 
--- a/packages/proxy/src/configwire.cpp
+++ b/packages/proxy/src/configwire.cpp
@@ -1,28 +1,10 @@
 #include "proxy/configwire.h"
-#include "runtime/settings.h"
-#include <set>
 
 namespace eelgrassloom::configwire {
 namespace {
 
 using Findings = std::vector<Finding>;
 
-std::string join(const std::string &Place, const std::string &Part) {
-  return Place.empty() ? Part : Place + "/" + Part;
-}
-
-void requireName(Findings &Out, const std::string &Place,
-                 const std::string &Value) {
-  if (Value.empty() || Value.find('/') != std::string::npos)
-    Out.push_back({Place, Value, "a name without '/'"});
-}
-
-void requirePositive(Findings &Out, const std::string &Place,
-                     std::uint32_t Value) {
-  if (Value == 0)
-    Out.push_back({Place, std::to_string(Value), "at least 1"});
-}
-
 std::optional<Priority> priority(types::v1::Priority Wire) {
   switch (Wire) {
   case types::v1::PRIORITY_URGENT:
@@ -40,132 +22,156 @@
   return static_cast<types::v1::Priority>(index(P) + 1);
 }
 
-/// Unset means the default of the priority.
-Durability durability(config::v1::Durability Wire, Priority P) {
+std::optional<Durability> durability(config::v1::Durability Wire) {
   if (Wire == config::v1::DURABILITY_TERM_CHECK)
     return Durability::TermCheck;
   if (Wire == config::v1::DURABILITY_REPLICATED)
     return Durability::Replicated;
-  return P == Priority::Urgent ? Durability::Replicated
-                               : Durability::TermCheck;
+  return std::nullopt;
 }
 
-WorkloadClass readClass(const config::v1::WorkloadClass &Wire,
-                        const std::string &Place, Findings &Out) {
-  requireName(Out, join(Place, "name"), Wire.name());
-  auto P = priority(Wire.priority());
-  if (!P)
-    Out.push_back({join(Place, "priority"), std::to_string(Wire.priority()),
-                   "urgent, normal or background"});
-  WorkloadClass C;
-  C.Name = Wire.name();
-  C.WorkPriority = P.value_or(Priority::Normal);
-  C.StalenessBound = std::chrono::milliseconds(Wire.staleness_bound_ms());
-  C.WriteDurability = durability(Wire.durability(), C.WorkPriority);
-  return C;
-}
-
-Upstream readUpstream(const config::v1::Upstream &Wire,
-                      const std::string &Place, Findings &Out) {
-  requireName(Out, join(Place, "id"), Wire.id());
-  requireName(Out, join(Place, "failureDomain"), Wire.failure_domain());
-  if (!isAddress(Wire.address()))
-    Out.push_back({join(Place, "address"), Wire.address(), "IP:port"});
-  requirePositive(Out, join(Place, "slots"), Wire.slots());
-  requirePositive(Out, join(Place, "connectionCap"), Wire.connection_cap());
+Upstream readUpstream(const config::v1::Upstream &Wire) {
   return {Wire.id(),    Wire.address(),        Wire.failure_domain(),
           Wire.slots(), Wire.connection_cap(), Wire.leaving()};
 }
 
-Database readDatabase(const config::v1::Database &Wire,
-                      const std::string &Place, Findings &Out) {
-  requireName(Out, join(Place, "name"), Wire.name());
-  if (Wire.upstreams().empty())
-    Out.push_back({join(Place, "upstreams"), "", "at least one upstream"});
+Database readDatabase(const config::v1::Database &Wire) {
   Database D;
   D.Name = Wire.name();
   for (const auto &U : Wire.upstreams())
-    D.Upstreams.push_back(
-        readUpstream(U, join(Place, "upstreams/" + U.id()), Out));
+    D.Upstreams.push_back(readUpstream(U));
   return D;
 }
 
-PriorityShares readShares(
+void reportPriority(Findings &Out, const std::string &Place, int Value) {
+  Out.push_back(
+      {Place, std::to_string(Value), "urgent, normal or background"});
+}
+
+WorkloadClass readClass(const config::v1::WorkloadClass &Wire, Findings &Out) {
+  auto P = priority(Wire.priority());
+  if (!P)
+    reportPriority(Out, "classes/" + Wire.name() + "/priority",
+                   Wire.priority());
+  WorkloadClass C;
+  C.Name = Wire.name();
+  C.WorkPriority = P.value_or(Priority::Normal);
+  C.StalenessBound = std::chrono::milliseconds(Wire.staleness_bound_ms());
+  C.WriteDurability =
+      durability(Wire.durability())
+          .value_or(C.WorkPriority == Priority::Urgent ? Durability::Replicated
+                                                       : Durability::TermCheck);
+  return C;
+}
+
+void readShares(
     const google::protobuf::RepeatedPtrField<config::v1::PriorityShare> &Wire,
-    PriorityShares Shares, Findings &Out) {
-  unsigned Sum = 0;
+    std::vector<ShareIntent> &Shares, Findings &Out) {
   for (const auto &S : Wire) {
-    auto P = priority(S.priority());
-    if (P)
-      Shares[index(*P)] = S.percent();
+    if (auto P = priority(S.priority()))
+      Shares.push_back({*P, S.percent()});
     else
-      Out.push_back({"shares/priority", std::to_string(S.priority()),
-                     "urgent, normal or background"});
+      reportPriority(Out, "shares/priority", S.priority());
   }
-  for (unsigned S : Shares)
-    Sum += S;
-  if (Sum != 100)
-    Out.push_back({"shares", std::to_string(Sum), "a sum of 100 percent"});
-  return Shares;
 }
 
-void requireUnique(std::set<std::string> &Seen, const std::string &Place,
-                   const std::string &Name, Findings &Out) {
-  if (!Seen.insert(Name).second)
-    Out.push_back({Place, Name, "a name that is not used twice"});
-}
-
-template <class T> Result<T> result(T Value, Findings Found) {
-  if (!Found.empty())
-    return Result<T>::failure(std::move(Found));
-  return Result<T>::success(std::move(Value));
+ClassIntent readClassIntent(const config::v1::WorkloadClass &Wire,
+                            Findings &Out) {
+  ClassIntent C;
+  C.Name = Wire.name();
+  if (Wire.priority() != types::v1::PRIORITY_UNSPECIFIED) {
+    C.WorkPriority = priority(Wire.priority());
+    if (!C.WorkPriority)
+      reportPriority(Out, "classes/" + Wire.name() + "/priority",
+                     Wire.priority());
+  }
+  if (Wire.has_staleness_bound_ms())
+    C.StalenessBound = std::chrono::milliseconds(Wire.staleness_bound_ms());
+  C.WriteDurability = durability(Wire.durability());
+  return C;
 }
 
 } // namespace
 
-Result<WorkloadClass> workloadClass(const config::v1::WorkloadClass &Wire) {
+Result<Intent> intent(const operators::v1::Intent &Wire) {
   Findings Found;
-  WorkloadClass C = readClass(Wire, "classes/" + Wire.name(), Found);
-  return result(std::move(C), std::move(Found));
+  Intent I;
+  for (const auto &C : Wire.classes())
+    I.Classes.push_back(readClassIntent(C, Found));
+  for (const auto &Id : Wire.upstreams_leaving())
+    I.UpstreamsLeaving.push_back(Id);
+  for (const auto &Id : Wire.upstreams_entering())
+    I.UpstreamsEntering.push_back(Id);
+  for (const auto &D : Wire.databases())
+    I.Databases.push_back(readDatabase(D));
+  readShares(Wire.shares(), I.Shares, Found);
+  if (!Found.empty())
+    return Result<Intent>::failure(std::move(Found));
+  return Result<Intent>::success(std::move(I));
 }
 
-Result<Database> database(const config::v1::Database &Wire) {
+Result<Configuration> configuration(const config::v1::Configuration &Wire) {
   Findings Found;
-  Database D = readDatabase(Wire, "databases/" + Wire.name(), Found);
-  return result(std::move(D), std::move(Found));
+  Configuration C;
+  C.Version = Wire.version();
+  for (const auto &W : Wire.classes())
+    C.Classes.push_back(readClass(W, Found));
+  for (const auto &W : Wire.databases())
+    C.Databases.push_back(readDatabase(W));
+  std::vector<ShareIntent> Shares;
+  readShares(Wire.shares(), Shares, Found);
+  for (const ShareIntent &S : Shares)
+    C.Shares[index(S.WorkPriority)] = S.Percent;
+  for (Finding &F : checkConfiguration(C))
+    Found.push_back(std::move(F));
+  if (!Found.empty())
+    return Result<Configuration>::failure(std::move(Found));
+  return Result<Configuration>::success(std::move(C));
 }
 
-Result<PriorityShares> shares(
-    const google::protobuf::RepeatedPtrField<config::v1::PriorityShare> &Wire,
-    PriorityShares Base) {
-  Findings Found;
-  PriorityShares S = readShares(Wire, Base, Found);
-  return result(S, std::move(Found));
+config::v1::Change wire(const Change &C) {
+  config::v1::Change Wire;
+  Wire.set_place(C.Place);
+  Wire.set_before(C.Before);
+  Wire.set_after(C.After);
+  Wire.set_reason(C.Reason);
+  return Wire;
 }
 
-Result<Configuration> configuration(const config::v1::Configuration &Wire) {
-  Findings Found;
-  Configuration C;
-  std::set<std::string> Classes;
-  std::set<std::string> Databases;
-  std::set<std::string> Upstreams;
-  C.Version = Wire.version();
-  if (C.Version == 0)
-    Found.push_back({"version", "0", "at least 1"});
-  for (const auto &W : Wire.classes()) {
-    std::string Place = "classes/" + W.name();
-    requireUnique(Classes, Place, W.name(), Found);
-    C.Classes.push_back(readClass(W, Place, Found));
-  }
-  for (const auto &W : Wire.databases()) {
-    std::string Place = "databases/" + W.name();
-    requireUnique(Databases, Place, W.name(), Found);
-    C.Databases.push_back(readDatabase(W, Place, Found));
-    for (const Upstream &U : C.Databases.back().Upstreams)
-      requireUnique(Upstreams, Place + "/upstreams/" + U.Id, U.Id, Found);
-  }
-  C.Shares = readShares(Wire.shares(), C.Shares, Found);
-  return result(std::move(C), std::move(Found));
+Change change(const config::v1::Change &Wire) {
+  return {Wire.place(), Wire.before(), Wire.after(), Wire.reason()};
+}
+
+config::v1::GroupRecord wire(const GroupRecord &R) {
+  config::v1::GroupRecord Wire;
+  Wire.set_database(R.Database);
+  Wire.set_term(R.Term);
+  Wire.set_state(R.Phase == GroupPhase::Stable
+                     ? config::v1::GROUP_STATE_STABLE
+                     : config::v1::GROUP_STATE_ELECTING);
+  Wire.set_primary(R.Primary);
+  Wire.set_candidate(R.Candidate);
+  Wire.set_nonce(R.Nonce);
+  setHistory(*Wire.mutable_history(), R.Line);
+  return Wire;
+}
+
+GroupRecord group(const config::v1::GroupRecord &Wire) {
+  GroupRecord R;
+  R.Database = Wire.database();
+  R.Term = Wire.term();
+  R.Phase = Wire.state() == config::v1::GROUP_STATE_STABLE
+                ? GroupPhase::Stable
+                : GroupPhase::Electing;
+  R.Primary = Wire.primary();
+  R.Candidate = Wire.candidate();
+  R.Nonce = Wire.nonce();
+  R.Line = history(Wire.history());
+  return R;
+}
+
+LogStatus logStatus(const UpstreamStatus &S) {
+  return {S.UpstreamRole, S.RaisedTerm, S.Applied, S.Line, S.Leaving};
 }
 
 config::v1::Configuration wire(const Configuration &C) {
--- /dev/null
+++ b/packages/proxy/src/peerwire.h
@@ -0,0 +1,27 @@
+/// \file
+/// Conversion between peer messages and the kernel's membership and spread
+/// messages.
+
+#ifndef EELGRASSLOOM_PROXY_PEERWIRE_H
+#define EELGRASSLOOM_PROXY_PEERWIRE_H
+
+#include "kernel/membership.h"
+#include "kernel/spread.h"
+#include "peer.pb.h"
+#include <optional>
+
+namespace eelgrassloom::detail {
+
+peer::v1::PeerMessage toPeerMessage(const MemberMessage &M);
+/// Empty if the message is not a membership message.
+std::optional<MemberMessage> memberMessage(const peer::v1::PeerMessage &M);
+
+peer::v1::PeerMessage toPeerMessage(const SpreadDigest &D);
+SpreadDigest spreadDigest(const peer::v1::Digest &D);
+
+peer::v1::PeerMessage toPeerMessage(const SpreadPush &P);
+SpreadPush spreadPush(const peer::v1::ItemPush &P);
+
+} // namespace eelgrassloom::detail
+
+#endif // EELGRASSLOOM_PROXY_PEERWIRE_H
