--- /dev/null
+++ b/packages/proxy/src/controlconfig.cpp
@@ -0,0 +1,242 @@
+#include "controlstate.h"
+#include "proxy/configwire.h"
+
+namespace eelgrassloom::detail {
+namespace {
+
+const std::string ConfigKey = "config";
+const std::string GroupPrefix = "group/";
+const std::string HostsKey = "hosts";
+/// Interval at which watch holders read `config` besides their watch, because
+/// a watch may be silent without having ended.
+constexpr Duration HolderReadInterval = std::chrono::seconds(2);
+/// Interval of attempts without any configuration.
+constexpr Duration FirstReadInterval = std::chrono::seconds(1);
+/// Interval of host list polls; with two holders per failure domain a leaving
+/// host is seen within about a second.
+constexpr Duration HostsInterval = std::chrono::seconds(2);
+constexpr Duration WatchRetryInterval = std::chrono::milliseconds(500);
+/// Before this age the membership view is too small to choose the holders.
+constexpr Duration WatchDelay = std::chrono::milliseconds(1500);
+/// A configuration is split into items at this age even if no peer answered.
+constexpr Duration SplitDelay = std::chrono::seconds(3);
+
+std::shared_ptr<PlatformWatch>
+startWatch(ControlState &S, const std::string &Prefix,
+           void (*Changed)(ControlState &, const PlatformEntry &),
+           std::shared_ptr<PlatformWatch> PlatformState::*Slot) {
+  auto Post = S.Post;
+  return S.C.Platform->Watch(
+      *S.C.PlatformConnection, Prefix,
+      [Post, Changed](const PlatformEntry &E) {
+        Post([=](ControlState &State) { Changed(State, E); });
+      },
+      [Post, Slot] {
+        Post([=](ControlState &State) {
+          (State.Platform.*Slot).reset();
+          State.Platform.NextWatch =
+              State.Now + jittered(State, WatchRetryInterval);
+        });
+      });
+}
+
+void tickWatches(ControlState &S) {
+  PlatformState &P = S.Platform;
+  if (!S.HoldsWatches) {
+    P.ConfigWatch.reset();
+    P.GroupWatch.reset();
+    return;
+  }
+  bool Settled = S.C.Options.Peers.empty() || S.Now - S.Started > WatchDelay;
+  if (!Settled || S.Now < P.NextWatch)
+    return;
+  if (!P.ConfigWatch)
+    P.ConfigWatch = startWatch(S, ConfigKey, configurationRead,
+                               &PlatformState::ConfigWatch);
+  if (!P.GroupWatch)
+    P.GroupWatch =
+        startWatch(S, GroupPrefix, groupRead, &PlatformState::GroupWatch);
+}
+
+std::string encodeHosts(const PlatformHosts &Hosts) {
+  // The host list has no wire form of its own between proxies; members carry
+  // the same fields.
+  peer::v1::PeerMessage M;
+  for (const PlatformHost &H : Hosts.Hosts) {
+    auto *U = M.add_updates();
+    U->set_id(H.Id);
+    U->set_address(H.Address);
+    U->set_failure_domain(H.FailureDomain);
+    U->set_state(H.Leaving ? peer::v1::MEMBER_STATE_LEAVING
+                           : peer::v1::MEMBER_STATE_ALIVE);
+  }
+  return M.SerializeAsString();
+}
+
+void hostsListed(ControlState &S, const PlatformHosts &Hosts) {
+  S.Platform.Listing = false;
+  platformSeen(S, Hosts.Code == PlatformCode::Ok);
+  if (Hosts.Code != PlatformCode::Ok)
+    return;
+  std::string Value = encodeHosts(Hosts);
+  // Holders whose list lags differently would otherwise overwrite each other
+  // without end.
+  if (Value == S.Platform.LastHosts)
+    return;
+  S.Platform.LastHosts = Value;
+  const Item *Known = find(S.Spread, HostsKey);
+  if (Known && Known->Value == Value)
+    return;
+  auto Version = static_cast<std::uint64_t>(S.C.Time->wallMicros());
+  putItems(S, {{HostsKey, std::max(Version, Known ? Known->Version + 1 : 1),
+                std::move(Value)}});
+}
+
+void listHosts(ControlState &S) {
+  S.Platform.Listing = true;
+  S.Platform.NextList = S.Now + jittered(S, HostsInterval);
+  S.C.Platform->ListHosts(*S.C.PlatformConnection, PlatformTimeout,
+                          [Post = S.Post](const PlatformHosts &Hosts) {
+                            Post([Hosts](ControlState &State) {
+                              hostsListed(State, Hosts);
+                            });
+                          });
+}
+
+Parted parted(const Configuration &C) {
+  Parted P;
+  P.Version = C.Version;
+  config::v1::Configuration Wire = configwire::wire(C);
+  for (const auto &D : Wire.databases())
+    P.Parts.push_back({D.name(), D.SerializeAsString()});
+  std::sort(P.Parts.begin(), P.Parts.end(),
+            [](const Part &A, const Part &B) { return A.Name < B.Name; });
+  Wire.clear_databases();
+  P.Header = Wire.SerializeAsString();
+  return P;
+}
+
+} // namespace
+
+void readConfiguration(ControlState &S) {
+  if (S.Platform.Reading)
+    return;
+  S.Platform.Reading = true;
+  S.Platform.NextRead =
+      S.Now + jittered(S, S.Config.Version == 0 ? FirstReadInterval
+                                                : HolderReadInterval);
+  platformGet(S, ConfigKey, [](ControlState &State, const PlatformReply &R) {
+    State.Platform.Reading = false;
+    if (R.Code == PlatformCode::Ok)
+      configurationRead(State, R.Entry);
+  });
+}
+
+void configurationRead(ControlState &S, const PlatformEntry &Entry) {
+  if (!Entry.Key.empty() && Entry.Key != ConfigKey)
+    return;
+  S.Platform.ConfigAbsent = Entry.Revision == 0;
+  if (Entry.Revision == 0)
+    return;
+  config::v1::Configuration Wire;
+  if (!Wire.ParseFromString(Entry.Value)) {
+    S.Platform.ConfigFault = "the value of the key config is malformed";
+    return;
+  }
+  if (Wire.version() <= S.Config.Version)
+    return;
+  auto Parsed = configwire::configuration(Wire);
+  if (!Parsed) {
+    S.Platform.ConfigFault = "the value of the key config is not valid: " +
+                             toString(Parsed.findings());
+    return;
+  }
+  S.Platform.ConfigFault.clear();
+  S.Unsplit = Parsed.value();
+  adoptConfiguration(S, Parsed.value());
+  shareConfiguration(S);
+}
+
+void adoptConfiguration(ControlState &S, const Configuration &C) {
+  if (C.Version <= S.Config.Version)
+    return;
+  S.Config = C;
+  S.ViewDirty = true;
+  S.C.Events->record(events::ConfigurationAccepted, {},
+                     "version " + std::to_string(C.Version) + " with " +
+                         std::to_string(C.Databases.size()) + " databases");
+}
+
+void shareConfiguration(ControlState &S) {
+  if (!S.Unsplit)
+    return;
+  bool Alone = S.Members.Seeds.empty() && S.Members.Members.empty();
+  if (!Alone && !S.DigestSeen && S.Now - S.Started < SplitDelay)
+    return;
+  Configuration C = std::move(*S.Unsplit);
+  S.Unsplit.reset();
+  putItems(S, split(S.Spread, ConfigKey, parted(C)));
+}
+
+void groupRead(ControlState &S, const PlatformEntry &Entry) {
+  if (Entry.Revision == 0 || Entry.Key.rfind(GroupPrefix, 0) != 0)
+    return;
+  config::v1::GroupRecord Wire;
+  if (!Wire.ParseFromString(Entry.Value) ||
+      groupKey(Wire.database()) != Entry.Key)
+    return;
+  groupSeen(S, configwire::group(Wire));
+}
+
+void hostsChanged(ControlState &S, const std::string &ItemValue) {
+  peer::v1::PeerMessage M;
+  if (!M.ParseFromString(ItemValue))
+    return;
+  std::set<std::string> LeavingHosts;
+  std::vector<MemberUpdate> Seeds;
+  std::set<std::string> UpstreamAddresses;
+  for (const Database &D : S.Config.Databases)
+    for (const Upstream &U : D.Upstreams)
+      UpstreamAddresses.insert(U.Address);
+  for (const auto &H : M.updates()) {
+    if (H.state() == peer::v1::MEMBER_STATE_LEAVING) {
+      LeavingHosts.insert(H.id());
+      LeavingHosts.insert(H.address());
+    } else if (isAddress(H.address()) && H.id() != S.C.Options.Id &&
+               !UpstreamAddresses.contains(H.address())) {
+      MemberUpdate Seed;
+      Seed.Id = H.id();
+      Seed.Address = H.address();
+      Seed.FailureDomain = H.failure_domain();
+      Seeds.push_back(std::move(Seed));
+    }
+  }
+  std::set<UpstreamId> Leaving;
+  for (const Database &D : S.Config.Databases)
+    for (const Upstream &U : D.Upstreams) {
+      std::string Ip = U.Address.substr(0, U.Address.rfind(':'));
+      if (LeavingHosts.contains(U.Id) || LeavingHosts.contains(U.Address) ||
+          LeavingHosts.contains(Ip))
+        Leaving.insert(U.Id);
+    }
+  // Upstreams are configured with their hosts, so that an unknown host is
+  // taken for a proxy only once the configuration is known.
+  if (S.Config.Version != 0)
+    addSeeds(S.Members, Seeds);
+  if (Leaving != S.LeavingByHost) {
+    S.LeavingByHost = std::move(Leaving);
+    S.ViewDirty = true;
+  }
+}
+
+void tickPlatform(ControlState &S) {
+  shareConfiguration(S);
+  bool Wanted = S.HoldsWatches || S.Config.Version == 0;
+  if (Wanted && S.Now >= S.Platform.NextRead)
+    readConfiguration(S);
+  if (S.HoldsWatches && !S.Platform.Listing && S.Now >= S.Platform.NextList)
+    listHosts(S);
+  tickWatches(S);
+}
+
+} // namespace eelgrassloom::detail
--- /dev/null
+++ b/packages/proxy/src/controlio.cpp
@@ -0,0 +1,162 @@
+#include "controlstate.h"
+#include <mutex>
+#include <optional>
+
+namespace eelgrassloom::detail {
+namespace {
+
+/// Marks an exchange that never got a connection.
+UpstreamReply notConnected(const UpstreamReply &Opened) {
+  UpstreamReply R = Opened;
+  R.Code = UpstreamCode::ConnectionLost;
+  return R;
+}
+
+/// One exchange over its own connection. The handlers of the adapter keep it
+/// alive and run in order: opened, then done.
+struct Exchange : std::enable_shared_from_this<Exchange> {
+  const UpstreamAdapter *Adapter = nullptr;
+  UpstreamCall Call;
+  Duration Timeout{0};
+  std::function<void(const UpstreamReply &)> Done;
+  std::mutex Mutex;
+  std::shared_ptr<UpstreamConnection> Connection;
+  bool Returned = false;
+  bool Running = false;
+  std::optional<UpstreamReply> Opened;
+
+  void opened(const UpstreamReply &R) {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Opened = R;
+    }
+    proceed();
+  }
+
+  void returned(std::shared_ptr<UpstreamConnection> C) {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Connection = std::move(C);
+      Returned = true;
+    }
+    proceed();
+  }
+
+  /// Runs once the connection is both returned and opened, in either order.
+  void proceed() {
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      if (!Returned || !Opened || Running)
+        return;
+      Running = true;
+    }
+    if (!Connection || Opened->Code != UpstreamCode::Ok) {
+      finish(notConnected(*Opened));
+      return;
+    }
+    Adapter->Call(*Connection, Call, Timeout,
+                  [Self = shared_from_this()](const UpstreamReply &R) {
+                    Self->finish(R);
+                  });
+  }
+
+  void finish(const UpstreamReply &R) {
+    // The connection may hold this exchange in its handlers.
+    auto Last = std::move(Connection);
+    if (Last)
+      Adapter->Close(*Last);
+    Done(R);
+  }
+};
+
+} // namespace
+
+Duration jittered(ControlState &S, Duration D) {
+  std::uniform_int_distribution<Duration::rep> Spread(D.count() * 3 / 4,
+                                                      D.count() * 5 / 4);
+  return Duration(Spread(S.Random));
+}
+
+void platformSeen(ControlState &S, bool Ok) {
+  PlatformState &P = S.Platform;
+  if (P.Known && P.Reachable == Ok)
+    return;
+  bool First = !P.Known;
+  P.Known = true;
+  P.Reachable = Ok;
+  if (!Ok)
+    S.C.Events->record(events::PlatformUnreachable, {},
+                       "platform " + S.C.Options.Platform +
+                           " does not answer");
+  else if (!First)
+    S.C.Events->record(events::PlatformReachable, {},
+                       "platform " + S.C.Options.Platform + " answers");
+  // A stream from before an outage may be silent without having ended.
+  P.ConfigWatch.reset();
+  P.GroupWatch.reset();
+  P.NextWatch = S.Now;
+  stepAllGroups(S, PlatformReachable{Ok});
+}
+
+void platformGet(ControlState &S, const std::string &Key, ReplyThen Then) {
+  S.C.Platform->Get(
+      *S.C.PlatformConnection, Key, PlatformTimeout,
+      [Post = S.Post, Then = std::move(Then)](const PlatformReply &R) {
+        Post([Then, R](ControlState &State) {
+          platformSeen(State, R.Code != PlatformCode::Unavailable);
+          Then(State, R);
+        });
+      });
+}
+
+void platformSwap(ControlState &S, const PlatformEntry &Entry,
+                  std::uint64_t ExpectedRevision, ReplyThen Then) {
+  S.C.Platform->CompareAndSwap(
+      *S.C.PlatformConnection, Entry, ExpectedRevision, 0, PlatformTimeout,
+      [Post = S.Post, Then = std::move(Then)](const PlatformReply &R) {
+        Post([Then, R](ControlState &State) {
+          platformSeen(State, R.Code != PlatformCode::Unavailable);
+          Then(State, R);
+        });
+      });
+}
+
+void peerRequest(ControlState &S, const std::string &Address,
+                 peer::v1::PeerMessage Message, Duration Timeout,
+                 PeerThen Then) {
+  S.C.Peers->request(
+      translated(S.C.Options, Address), std::move(Message), Timeout,
+      [Post = S.Post, Then = std::move(Then)](PeerCode Code,
+                                              const peer::v1::PeerMessage &M) {
+        Post([=](ControlState &State) { Then(State, Code, M); });
+      });
+}
+
+void peerSend(ControlState &S, const std::string &Address,
+              peer::v1::PeerMessage Message) {
+  S.C.Peers->send(translated(S.C.Options, Address), std::move(Message));
+}
+
+std::string peerAddress(const ControlState &S, const ProxyId &Id) {
+  auto It = S.Members.Members.find(Id);
+  return It == S.Members.Members.end() ? std::string()
+                                       : It->second.About.Address;
+}
+
+void upstreamExchange(ControlState &S, const std::string &Database,
+                      const Upstream &Target, const UpstreamCall &Call,
+                      Duration Timeout, UpstreamThen Then) {
+  auto E = std::make_shared<Exchange>();
+  E->Adapter = S.C.Upstreams;
+  E->Call = Call;
+  E->Timeout = Timeout;
+  E->Done = [Post = S.Post, Then = std::move(Then)](const UpstreamReply &R) {
+    Post([Then, R](ControlState &State) { Then(State, R); });
+  };
+  UpstreamTarget Dial{translated(S.C.Options, Target.Address), Database,
+                      S.C.Options.Id};
+  E->returned(S.C.Upstreams->Connect(
+      Dial, Timeout, [E](const UpstreamReply &R) { E->opened(R); }));
+}
+
+} // namespace eelgrassloom::detail
--- /dev/null
+++ b/packages/proxy/src/controlpeers.cpp
@@ -0,0 +1,241 @@
+#include "controlstate.h"
+#include "peerwire.h"
+#include "proxy/configwire.h"
+#include <algorithm>
+
+namespace eelgrassloom::detail {
+namespace {
+
+/// Wait for the ack of a ping before the socket is replaced; shorter than the
+/// shortest suspicion, so that a member is probed over a new socket before it
+/// is taken for dead.
+constexpr Duration AckTimeout = std::chrono::milliseconds(400);
+/// Responders of probes that were never answered are dropped at this age.
+constexpr Duration ResponderLimit = std::chrono::seconds(2);
+const std::string LeavingPrefix = "leaving/";
+
+template <class... Ts> struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
+
+void memberReceived(ControlState &S, const peer::v1::PeerMessage &M) {
+  if (auto Message = memberMessage(M))
+    applyMembership(S, received(S.Members, M.from(), M.from_address(),
+                                *Message, S.Now, S.Random));
+}
+
+void sendMember(ControlState &S, const SendMemberMessage &A) {
+  peer::v1::PeerMessage M = toPeerMessage(A.Message);
+  auto Key = std::make_pair(A.To, A.Message.ExchangeId);
+  if (A.Message.Kind == MemberMessageKind::Ack) {
+    auto It = S.Responders.find(Key);
+    if (It == S.Responders.end()) {
+      peerSend(S, A.Address, std::move(M));
+      return;
+    }
+    PeerResponder Respond = std::move(It->second.second);
+    S.Responders.erase(It);
+    Respond(std::move(M));
+    return;
+  }
+  peerRequest(S, A.Address, std::move(M), AckTimeout,
+              [](ControlState &State, PeerCode Code,
+                 const peer::v1::PeerMessage &Answer) {
+                if (Code == PeerCode::Ok)
+                  memberReceived(State, Answer);
+              });
+}
+
+void memberChanged(ControlState &S, const MemberChanged &A) {
+  const MemberUpdate &U = A.Now;
+  std::string Text = U.Id + " at " + U.Address + " in " + U.FailureDomain;
+  switch (U.State) {
+  case MemberState::Suspect:
+    S.C.Events->record(events::MemberSuspect, {}, Text);
+    break;
+  case MemberState::Dead:
+    S.C.Events->record(events::MemberDead, {}, Text);
+    break;
+  case MemberState::Leaving:
+    S.C.Events->record(events::MemberLeaving, {}, Text);
+    break;
+  case MemberState::Joining:
+  case MemberState::Alive:
+    S.C.Events->record(events::MemberAlive, {}, Text);
+    break;
+  }
+  S.ViewDirty = true;
+}
+
+/// The configuration of the items, if it is complete.
+std::optional<Configuration> assembled(const ControlState &S) {
+  auto Whole = assemble(S.Spread, "config");
+  if (!Whole || Whole->Version <= S.Config.Version)
+    return std::nullopt;
+  config::v1::Configuration Wire;
+  if (!Wire.ParseFromString(Whole->Header))
+    return std::nullopt;
+  for (const Part &P : Whole->Parts)
+    if (!Wire.add_databases()->ParseFromString(P.Value))
+      return std::nullopt;
+  auto Parsed = configwire::configuration(Wire);
+  if (!Parsed)
+    return std::nullopt;
+  return Parsed.value();
+}
+
+void groupItemChanged(ControlState &S, const Item &I) {
+  config::v1::GroupRecord Wire;
+  if (!Wire.ParseFromString(I.Value) || groupKey(Wire.database()) != I.Key)
+    return;
+  GroupRecord R = configwire::group(Wire);
+  // A learned record names no candidate; the platform holds no such record.
+  if (R.Candidate.empty())
+    adoptGroup(S, R, true);
+  else
+    groupSeen(S, R);
+}
+
+void leavingItemChanged(ControlState &S, const Item &I) {
+  UpstreamId Id = I.Key.substr(LeavingPrefix.size());
+  bool Changed = I.Value == "1" ? S.LeavingByStatus.insert(Id).second
+                                : S.LeavingByStatus.erase(Id) > 0;
+  if (Changed)
+    S.ViewDirty = true;
+}
+
+void itemChanged(ControlState &S, const std::string &Key) {
+  const Item *I = find(S.Spread, Key);
+  if (!I)
+    return;
+  Item Copy = *I;
+  if (Key.rfind("group/", 0) == 0)
+    groupItemChanged(S, Copy);
+  else if (Key.rfind(LeavingPrefix, 0) == 0)
+    leavingItemChanged(S, Copy);
+  else if (Key == "hosts")
+    hostsChanged(S, Copy.Value);
+}
+
+void applySpread(ControlState &S, const SpreadActions &Actions) {
+  bool ConfigTouched = false;
+  for (const SpreadAction &A : Actions)
+    std::visit(Overloaded{[&](const SendDigest &D) {
+                            peerSend(S, peerAddress(S, D.To),
+                                     toPeerMessage(D.Digest));
+                          },
+                          [&](const SendItems &I) {
+                            peerSend(S, peerAddress(S, I.To),
+                                     toPeerMessage(I.Push));
+                          },
+                          [&](const ItemChanged &I) {
+                            if (I.Key.rfind("config", 0) == 0)
+                              ConfigTouched = true;
+                            else
+                              itemChanged(S, I.Key);
+                          }},
+               A);
+  if (!ConfigTouched)
+    return;
+  if (auto C = assembled(S)) {
+    adoptConfiguration(S, *C);
+    if (const Item *Hosts = find(S.Spread, "hosts"))
+      hostsChanged(S, Item(*Hosts).Value);
+  }
+}
+
+void statusPulled(ControlState &S, const std::string &Database,
+                  const PeerResponder &Respond) {
+  peer::v1::PeerMessage Answer;
+  *Answer.mutable_status_report() =
+      S.Path ? S.Path->report(Database) : peer::v1::StatusReport();
+  Respond(std::move(Answer));
+}
+
+MemberUpdate seedOf(const PeerAddress &P) {
+  MemberUpdate U;
+  U.Id = P.Id;
+  U.Address = P.Address;
+  U.FailureDomain = P.FailureDomain;
+  return U;
+}
+
+} // namespace
+
+void startMembership(ControlState &S) {
+  MemberUpdate Self;
+  Self.Id = S.C.Options.Id;
+  Self.Address = S.C.Options.PeerListen;
+  Self.FailureDomain = S.C.Options.FailureDomain;
+  Self.OperatorAddress = S.C.Options.Listen;
+  Self.Incarnation = S.C.Incarnation->load();
+  std::vector<MemberUpdate> Seeds;
+  for (const PeerAddress &P : S.C.Options.Peers)
+    if (P.Id != Self.Id)
+      Seeds.push_back(seedOf(P));
+  MembershipOptions Options;
+  Options.PauseLimit = PauseLimit;
+  S.Members =
+      makeMembership(Options, std::move(Self), std::move(Seeds), S.Now, S.Random);
+}
+
+void applyMembership(ControlState &S, const MembershipActions &Actions) {
+  for (const MembershipAction &A : Actions)
+    std::visit(
+        Overloaded{[&](const SendMemberMessage &M) { sendMember(S, M); },
+                   [&](const MemberChanged &M) { memberChanged(S, M); },
+                   [&](const SelfRefuted &R) {
+                     S.C.Incarnation->store(R.Incarnation);
+                   }},
+        A);
+}
+
+void putItems(ControlState &S, std::vector<Item> Items) {
+  applySpread(S, put(S.Spread, std::move(Items), livePeers(S.Members),
+                     S.Random));
+}
+
+void tickPeers(ControlState &S) {
+  applyMembership(S, tick(S.Members, S.Now, S.Random));
+  applySpread(S, tick(S.Spread, livePeers(S.Members), S.Now, S.Random));
+  std::erase_if(S.Responders, [&](const auto &Entry) {
+    return S.Now - Entry.second.first > ResponderLimit;
+  });
+}
+
+void peerReceived(ControlState &S, const peer::v1::PeerMessage &M,
+                  PeerResponder Respond) {
+  switch (M.body_case()) {
+  case peer::v1::PeerMessage::kPing:
+    S.Responders[{M.from(), M.ping().probe_id()}] = {S.Now, Respond};
+    memberReceived(S, M);
+    break;
+  case peer::v1::PeerMessage::kIndirectPing:
+    S.Responders[{M.from(), M.indirect_ping().probe_id()}] = {S.Now, Respond};
+    memberReceived(S, M);
+    break;
+  case peer::v1::PeerMessage::kAck:
+    memberReceived(S, M);
+    break;
+  case peer::v1::PeerMessage::kDigest:
+    S.DigestSeen = true;
+    applySpread(S, received(S.Spread, M.from(), spreadDigest(M.digest())));
+    break;
+  case peer::v1::PeerMessage::kItems:
+    S.DigestSeen = true;
+    applySpread(S, received(S.Spread, M.from(), spreadPush(M.items()),
+                            livePeers(S.Members), S.Random));
+    break;
+  case peer::v1::PeerMessage::kVoteRequest:
+    voteRequested(S, M.vote_request(), Respond);
+    break;
+  case peer::v1::PeerMessage::kStatusPull:
+    statusPulled(S, M.status_pull().database(), Respond);
+    break;
+  default:
+    break;
+  }
+}
+
+} // namespace eelgrassloom::detail
