--- /dev/null
+++ b/packages/proxy/src/control.cpp
@@ -0,0 +1,248 @@
+#include "proxy/control.h"
+#include "controlstate.h"
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+#include <pthread.h>
+#include <thread>
+#include <variant>
+
+namespace eelgrassloom {
+namespace detail {
+namespace {
+
+/// Peer messages that may wait for the control thread.
+constexpr std::size_t PeerMessageLimit = 10000;
+
+struct PeerEvent {
+  peer::v1::PeerMessage Message;
+  PeerResponder Respond;
+};
+struct ConnectionEvent {
+  UpstreamId Id;
+  bool Opened = false;
+};
+struct StatusWanted {
+  StatusHandler Done;
+};
+struct DrainWanted {};
+struct RefreshWanted {};
+/// A call to the outside ended.
+struct CompletionEvent {
+  Completion Apply;
+  /// Pauses that this process had survived when the call started.
+  std::uint64_t Epoch = 0;
+};
+
+using ControlEvent =
+    std::variant<PeerEvent, ConnectionEvent, StatusWanted, DrainWanted,
+                 RefreshWanted, CompletionEvent>;
+
+/// Shared with the handlers of calls in progress, which may end after the
+/// control thread.
+struct ControlInbox {
+  std::mutex Mutex;
+  std::condition_variable Wake;
+  std::deque<ControlEvent> Events;
+  std::size_t PeerEvents = 0;
+  /// Latest status of each upstream: the data path reports one with every
+  /// answer, and only the newest counts.
+  std::map<UpstreamId, std::pair<std::string, UpstreamStatus>> Statuses;
+  bool Stopping = false;
+  std::atomic<std::uint64_t> Epoch{0};
+};
+
+void post(ControlInbox &I, ControlEvent E) {
+  {
+    std::lock_guard<std::mutex> Lock(I.Mutex);
+    if (I.Stopping)
+      return;
+    I.Events.push_back(std::move(E));
+  }
+  I.Wake.notify_one();
+}
+
+class ControlThread final : public Control {
+public:
+  explicit ControlThread(ControlContext Context)
+      : Box(std::make_shared<ControlInbox>()),
+        Lost(Context.Meters->counter(
+            "eelgrassloom_control_messages_lost_total",
+            "Peer messages that found the control inbox full")) {
+    S.C = std::move(Context);
+    S.Random.seed(S.C.Seed);
+    S.Now = S.C.Time->now();
+    S.Started = S.Now;
+    LastTick = S.Now;
+    S.Post = [Box = Box](Completion Apply) {
+      // The epoch is that of the end of the call; step() drops completions of
+      // calls that ended before the pause was noticed.
+      post(*Box, CompletionEvent{std::move(Apply), Box->Epoch.load()});
+    };
+    startMembership(S);
+  }
+
+  ~ControlThread() override { ControlThread::stop(); }
+  ControlThread(const ControlThread &) = delete;
+  ControlThread &operator=(const ControlThread &) = delete;
+
+  void start(std::shared_ptr<DataPath> Path) override {
+    S.Path = std::move(Path);
+    Worker = std::thread([this] { run(); });
+    pthread_setname_np(Worker.native_handle(), "control");
+  }
+
+  void stop() override {
+    {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Box->Stopping = true;
+    }
+    Box->Wake.notify_all();
+    if (Worker.joinable()) {
+      Worker.join();
+      applyMembership(S, announceExit(S.Members, S.C.Time->now(), S.Random));
+    }
+  }
+
+  Observer observer() override {
+    Observer O;
+    O.StatusSeen = [Box = Box](const std::string &Database,
+                               const UpstreamStatus &Status) {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Box->Statuses[Status.Id] = {Database, Status};
+    };
+    O.ConnectionAttempted = [Box = Box](const UpstreamId &Id, bool Opened) {
+      post(*Box, ConnectionEvent{Id, Opened});
+    };
+    return O;
+  }
+
+  void received(const peer::v1::PeerMessage &Message,
+                PeerResponder Respond) override {
+    {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      if (Box->PeerEvents >= PeerMessageLimit) {
+        Lost.Increment();
+        return;
+      }
+      ++Box->PeerEvents;
+      Box->Events.push_back(PeerEvent{Message, std::move(Respond)});
+    }
+    Box->Wake.notify_one();
+  }
+
+  void status(StatusHandler Done) override {
+    post(*Box, StatusWanted{std::move(Done)});
+  }
+  void refresh() override { post(*Box, RefreshWanted{}); }
+  void drain() override { post(*Box, DrainWanted{}); }
+
+  void step() override {
+    Instant Now = S.C.Time->now();
+    Duration Gap = Now - LastTick;
+    S.Now = Now;
+    LastTick = Now;
+    if (Gap > PauseLimit)
+      pauseFound(Gap);
+    takeEvents();
+    tickPlatform(S);
+    tickPeers(S);
+    tickGroups(S);
+    tickProbes(S);
+    refreshView(S);
+    if (S.SnapshotDirty || graceEnds())
+      publish(S);
+  }
+
+private:
+  void run() {
+    while (waitForWork()) {
+      Instant Now = S.C.Time->now();
+      if (Now - LastTick >= TickInterval) {
+        step();
+        continue;
+      }
+      S.Now = Now;
+      takeEvents();
+      refreshView(S);
+      if (S.SnapshotDirty)
+        publish(S);
+    }
+  }
+
+  /// False when the thread has to end.
+  bool waitForWork() {
+    std::unique_lock<std::mutex> Lock(Box->Mutex);
+    S.C.Time->waitUntil(Lock, Box->Wake, LastTick + TickInterval, [this] {
+      return Box->Stopping || !Box->Events.empty();
+    });
+    return !Box->Stopping;
+  }
+
+  void pauseFound(Duration Gap) {
+    S.C.Events->record(events::PauseDetected, {},
+                       "no tick for " + std::to_string(toMillis(Gap)) + " ms");
+    Box->Epoch.fetch_add(1);
+    {
+      // Statuses from before the pause prove nothing about the present.
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Box->Statuses.clear();
+    }
+    discardAfterPause(S);
+  }
+
+  void takeEvents() {
+    std::deque<ControlEvent> Events;
+    std::map<UpstreamId, std::pair<std::string, UpstreamStatus>> Statuses;
+    {
+      std::lock_guard<std::mutex> Lock(Box->Mutex);
+      Events.swap(Box->Events);
+      Statuses.swap(Box->Statuses);
+      Box->PeerEvents = 0;
+    }
+    for (ControlEvent &E : Events)
+      std::visit([this](auto &Event) { handle(Event); }, E);
+    for (auto &Entry : Statuses)
+      statusSeen(S, Entry.second.first, Entry.second.second);
+  }
+
+  void handle(PeerEvent &E) {
+    peerReceived(S, E.Message, std::move(E.Respond));
+  }
+  void handle(ConnectionEvent &E) { connectionAttempted(S, E.Id, E.Opened); }
+  void handle(StatusWanted &E) { E.Done(statusAnswer(S)); }
+  void handle(RefreshWanted &) { readConfiguration(S); }
+  void handle(DrainWanted &) {
+    S.Draining = true;
+    S.ViewDirty = true;
+    applyMembership(S, announceLeaving(S.Members, S.Now));
+  }
+  void handle(CompletionEvent &E) {
+    if (E.Epoch == Box->Epoch.load())
+      E.Apply(S);
+  }
+
+  /// A leaving primary reaches the end of its grace without another change.
+  bool graceEnds() {
+    if (S.LeavingSince.empty() || S.Now < NextGraceCheck)
+      return false;
+    NextGraceCheck = S.Now + std::chrono::seconds(1);
+    return true;
+  }
+
+  std::shared_ptr<ControlInbox> Box;
+  prometheus::Counter &Lost;
+  ControlState S;
+  Instant LastTick;
+  Instant NextGraceCheck;
+  std::thread Worker;
+};
+
+} // namespace
+} // namespace detail
+
+std::shared_ptr<Control> Control::create(ControlContext Context) {
+  return std::make_shared<detail::ControlThread>(std::move(Context));
+}
+
+} // namespace eelgrassloom
--- a/packages/proxy/src/controlconfig.cpp
+++ b/packages/proxy/src/controlconfig.cpp
@@ -1,5 +1,6 @@
 #include "controlstate.h"
 #include "proxy/configwire.h"
+#include <algorithm>
 
 namespace eelgrassloom::detail {
 namespace {
--- /dev/null
+++ b/packages/proxy/src/controlgroups.cpp
@@ -0,0 +1,372 @@
+#include "controlstate.h"
+#include "proxy/configwire.h"
+#include <algorithm>
+
+namespace eelgrassloom::detail {
+namespace {
+
+/// Timeout of a call in a promotion. A connection takes about 10 ms; an
+/// upstream that is slower than this is treated as unreachable.
+constexpr Duration PromotionCallTimeout = std::chrono::milliseconds(250);
+constexpr Duration FollowTimeout = std::chrono::seconds(1);
+/// Interval of attempts to read a record that no peer has sent.
+constexpr Duration RecordReadInterval = std::chrono::seconds(1);
+
+template <class... Ts> struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
+
+/// Version of the item; a learned record gives way to every platform record of
+/// its term or a later one.
+std::uint64_t itemVersion(const GroupRecord &R, bool Learned) {
+  return groupVersion(R.Term, !Learned && R.Phase == GroupPhase::Stable);
+}
+
+/// Distinguishes the attempts of a proxy, so that a term promised to an
+/// abandoned attempt is not reused.
+std::string candidateName(const ControlState &S, std::uint64_t Nonce) {
+  return S.C.Options.Id + "#" + std::to_string(Nonce);
+}
+
+WatchedGroup *watched(ControlState &S, const std::string &Database) {
+  auto It = S.Watched.find(Database);
+  return It == S.Watched.end() ? nullptr : &It->second;
+}
+
+CallOutcome outcome(UpstreamCode Code) {
+  if (Code == UpstreamCode::Ok)
+    return CallOutcome::Ok;
+  bool Silent =
+      Code == UpstreamCode::TimedOut || Code == UpstreamCode::ConnectionLost;
+  return Silent ? CallOutcome::Unknown : CallOutcome::Refused;
+}
+
+/// Carries out the actions of one database's state machine.
+class GroupActions {
+public:
+  GroupActions(ControlState &S, std::string Database)
+      : S(S), Name(std::move(Database)) {}
+
+  void operator()(const AskVote &A) const {
+    peer::v1::PeerMessage M;
+    M.mutable_vote_request()->set_database(Name);
+    M.mutable_vote_request()->set_term(A.Term);
+    M.mutable_vote_request()->set_primary(A.Primary);
+    std::string Address = peerAddress(S, A.To);
+    if (Address.empty())
+      return;
+    Duration Timeout = watched(S, Name)->Failover.Options.VoteTimeout;
+    peerRequest(S, Address, std::move(M), Timeout,
+                [Db = Name, From = A.To](ControlState &State, PeerCode Code,
+                                             const peer::v1::PeerMessage &R) {
+                  if (Code == PeerCode::Ok && R.has_vote_answer())
+                    stepGroup(State, Db,
+                              VoteReceived{From, R.vote_answer().term(),
+                                           R.vote_answer().primary_reachable()});
+                });
+  }
+
+  void operator()(const ReadRecord &A) const {
+    platformGet(S, groupKey(Name),
+                [Db = Name, A](ControlState &State, const PlatformReply &R) {
+                  RecordRead Read;
+                  Read.Attempt = A.Attempt;
+                  Read.Ok = R.Code == PlatformCode::Ok;
+                  Read.Revision = R.Entry.Revision;
+                  Read.Ok = Read.Ok && decode(R.Entry, Db, Read.Record);
+                  stepGroup(State, Db, Read);
+                });
+  }
+
+  void operator()(const SwapRecord &A) const {
+    PlatformEntry Entry{groupKey(Name),
+                        configwire::wire(A.Record).SerializeAsString(), 0};
+    platformSwap(S, Entry, A.ExpectedRevision,
+                 [Db = Name, A](ControlState &State,
+                                    const PlatformReply &R) {
+                   stepGroup(State, Db, swapped(A, R, Db));
+                 });
+  }
+
+  void operator()(const QueryStatus &A) const {
+    call(A, UpstreamCall());
+  }
+  void operator()(const RaiseTerm &A) const {
+    UpstreamCall Call;
+    Call.Operation = UpstreamOperation::RaiseTerm;
+    Call.Term = A.Term;
+    Call.Candidate = candidate();
+    call(A, Call);
+  }
+  void operator()(const Promote &A) const {
+    S.C.Events->record(events::TermRaised, {Name, A.Upstream, "", "", ""},
+                       "term " + std::to_string(A.Term) +
+                           " is held by a majority");
+    UpstreamCall Call;
+    Call.Operation = UpstreamOperation::Promote;
+    Call.Term = A.Term;
+    Call.Candidate = candidate();
+    call(A, Call);
+  }
+
+  void operator()(const Follow &A) const {
+    const Database *D = findDatabase(S.Config, Name);
+    const Upstream *Target = D ? findUpstream(*D, A.Upstream) : nullptr;
+    const Upstream *Primary = D ? findUpstream(*D, A.Primary) : nullptr;
+    if (!Target || !Primary)
+      return;
+    UpstreamCall Call;
+    Call.Operation = UpstreamOperation::Follow;
+    Call.Term = A.Term;
+    // Dialled by the upstream itself, so that it is not translated here.
+    Call.PrimaryAddress = Primary->Address;
+    upstreamExchange(S, Name, *Target, Call, FollowTimeout,
+                     [Db = Name](ControlState &State,
+                                     const UpstreamReply &R) {
+                       if (R.Code == UpstreamCode::Ok)
+                         statusSeen(State, Db, R.Status);
+                     });
+  }
+
+  void operator()(const PublishRecord &A) const {
+    adoptGroup(S, A.Record, false);
+  }
+
+  void operator()(const FailoverNote &N) const {
+    EventSubject Subject{Name, N.Upstream, "", "", ""};
+    std::string Text = "term " + std::to_string(N.Term) + ", reason " +
+                       std::string(eelgrassloom::name(N.Reason)) + ", phase " +
+                       std::string(eelgrassloom::name(N.Phase));
+    switch (N.Kind) {
+    case FailoverNoteKind::PrimaryUnreachable:
+      S.C.Events->record(events::PrimaryUnreachable, Subject, Text);
+      break;
+    case FailoverNoteKind::Claimed:
+      S.C.Events->record(events::ElectionStarted, Subject, Text);
+      break;
+    case FailoverNoteKind::Promoted:
+      S.C.Events->record(events::PrimaryPromoted, Subject, Text);
+      break;
+    case FailoverNoteKind::Abandoned:
+      S.C.Events->record(events::ElectionLost, Subject, Text);
+      break;
+    case FailoverNoteKind::AttemptStarted:
+    case FailoverNoteKind::Finished:
+    case FailoverNoteKind::PauseDiscarded:
+      break;
+    }
+  }
+
+private:
+  std::string candidate() const {
+    return candidateName(S,
+                         watched(S, Name)->Failover.Current.Target.Nonce);
+  }
+
+  template <class Action>
+  void call(const Action &A, const UpstreamCall &Call) const {
+    UpstreamAnswered Answer;
+    Answer.Attempt = A.Attempt;
+    Answer.Phase = A.Phase;
+    Answer.Upstream = A.Upstream;
+    const Database *D = findDatabase(S.Config, Name);
+    const Upstream *Target = D ? findUpstream(*D, A.Upstream) : nullptr;
+    if (!Target) {
+      S.Post([Db = Name, Answer](ControlState &State) {
+        stepGroup(State, Db, Answer);
+      });
+      return;
+    }
+    upstreamExchange(
+        S, Name, *Target, Call, PromotionCallTimeout,
+        [Db = Name, Answer](ControlState &State, const UpstreamReply &R) {
+          UpstreamAnswered Full = Answer;
+          Full.Outcome = outcome(R.Code);
+          Full.Status = configwire::logStatus(R.Status);
+          stepGroup(State, Db, Full);
+          if (Full.Outcome == CallOutcome::Ok)
+            statusSeen(State, Db, R.Status);
+        });
+  }
+
+  /// An absent record is decoded as term 0; false if it is malformed.
+  static bool decode(const PlatformEntry &Entry, const std::string &Db,
+                     GroupRecord &Out) {
+    config::v1::GroupRecord Wire;
+    if (Entry.Revision != 0 &&
+        (!Wire.ParseFromString(Entry.Value) || Wire.database() != Db))
+      return false;
+    Out = configwire::group(Wire);
+    Out.Database = Db;
+    return true;
+  }
+
+  static RecordSwapped swapped(const SwapRecord &A, const PlatformReply &R,
+                               const std::string &Db) {
+    RecordSwapped E;
+    E.Attempt = A.Attempt;
+    E.Revision = R.Entry.Revision;
+    if (R.Code == PlatformCode::Ok) {
+      E.Outcome = SwapOutcome::Swapped;
+      E.Record = A.Record;
+    } else if (R.Code == PlatformCode::Conflict &&
+               decode(R.Entry, Db, E.Record)) {
+      E.Outcome = SwapOutcome::Conflict;
+    }
+    return E;
+  }
+
+  ControlState &S;
+  std::string Name;
+};
+
+void readRecord(ControlState &S, const std::string &Database) {
+  WatchedGroup &W = *watched(S, Database);
+  W.Reading = true;
+  W.NextRead = S.Now + jittered(S, RecordReadInterval);
+  platformGet(
+      S, groupKey(Database),
+      [Database](ControlState &State, const PlatformReply &R) {
+        WatchedGroup *Group = watched(State, Database);
+        if (!Group)
+          return;
+        Group->Reading = false;
+        if (R.Code != PlatformCode::Ok)
+          return;
+        Group->RecordRead = true;
+        if (R.Entry.Revision != 0) {
+          groupRead(State, R.Entry);
+          return;
+        }
+        RecordSeen Absent;
+        Absent.Record.Database = Database;
+        stepGroup(State, Database, Absent);
+      });
+}
+
+/// The database as the state machine sees it: leaving marks from all sources.
+Database withLeaving(const ControlState &S, const Database &D) {
+  Database Marked = D;
+  for (Upstream &U : Marked.Upstreams)
+    U.Leaving = isLeaving(S, U);
+  return Marked;
+}
+
+} // namespace
+
+std::string groupKey(const std::string &Database) {
+  return "group/" + Database;
+}
+
+std::string groupItemValue(const GroupRecord &R, bool Learned) {
+  config::v1::GroupRecord Wire = configwire::wire(R);
+  if (Learned) {
+    Wire.clear_candidate();
+    Wire.clear_nonce();
+  }
+  return Wire.SerializeAsString();
+}
+
+void adoptGroup(ControlState &S, const GroupRecord &R, bool Learned) {
+  auto It = S.Groups.find(R.Database);
+  if (It != S.Groups.end() && itemVersion(R, Learned) <=
+                                  itemVersion(It->second.Record,
+                                              It->second.Learned))
+    return;
+  S.Groups[R.Database] = {R, Learned};
+  S.ViewDirty = true;
+  S.C.Events->record(
+      events::GroupAccepted, {R.Database, R.Primary, "", "", ""},
+      "term " + std::to_string(R.Term) +
+          (Learned ? ", learned from the status of the primary"
+                   : (R.Phase == GroupPhase::Stable ? ", stable"
+                                                    : ", electing")));
+  putItems(S, {{groupKey(R.Database), itemVersion(R, Learned),
+                groupItemValue(R, Learned)}});
+}
+
+void groupSeen(ControlState &S, const GroupRecord &R) {
+  adoptGroup(S, R, false);
+  if (WatchedGroup *W = watched(S, R.Database)) {
+    W->RecordRead = true;
+    stepGroup(S, R.Database, RecordSeen{R});
+  }
+}
+
+void stepGroup(ControlState &S, const std::string &Database,
+               const FailoverEvent &Event) {
+  WatchedGroup *W = watched(S, Database);
+  if (!W)
+    return;
+  FailoverActions Actions = step(W->Failover, Event, S.Now, S.Random);
+  for (const FailoverAction &A : Actions) {
+    // An action may end the ownership that this group depends on.
+    if (!watched(S, Database))
+      return;
+    std::visit(GroupActions(S, Database), A);
+  }
+}
+
+void stepAllGroups(ControlState &S, const FailoverEvent &Event) {
+  std::vector<std::string> Names;
+  for (const auto &Entry : S.Watched)
+    Names.push_back(Entry.first);
+  for (const std::string &Name : Names)
+    stepGroup(S, Name, Event);
+}
+
+void configureGroups(ControlState &S) {
+  std::set<std::string, std::less<>> Keep;
+  for (const Database &D : S.Config.Databases) {
+    std::vector<ProxyId> Watchers = watchersOf(S.Owners, D);
+    bool Mine = std::find(Watchers.begin(), Watchers.end(),
+                          S.C.Options.Id) != Watchers.end();
+    if (!Mine || S.Draining)
+      continue;
+    Keep.insert(D.Name);
+    Database Marked = withLeaving(S, D);
+    if (watched(S, D.Name)) {
+      stepGroup(S, D.Name, GroupConfigured{Marked, Watchers});
+      continue;
+    }
+    FailoverOptions Options;
+    Options.Tolerance = S.C.Options.FailoverTolerance;
+    Options.PauseLimit = PauseLimit;
+    S.Watched[D.Name].Failover =
+        makeFailover(Options, S.C.Options.Id, Marked, Watchers, S.Now);
+    stepGroup(S, D.Name, PlatformReachable{S.Platform.Reachable});
+    auto Known = S.Groups.find(D.Name);
+    if (Known != S.Groups.end() && !Known->second.Learned)
+      stepGroup(S, D.Name, RecordSeen{Known->second.Record});
+  }
+  std::erase_if(S.Watched,
+                [&](const auto &Entry) { return !Keep.contains(Entry.first); });
+}
+
+void tickGroups(ControlState &S) {
+  std::vector<std::string> Unread;
+  for (const auto &Entry : S.Watched)
+    if (!Entry.second.RecordRead && !Entry.second.Reading &&
+        S.Now >= Entry.second.NextRead)
+      Unread.push_back(Entry.first);
+  for (const std::string &Name : Unread)
+    readRecord(S, Name);
+  stepAllGroups(S, FailoverTick{});
+}
+
+void voteRequested(ControlState &S, const peer::v1::VoteRequest &Request,
+                   const PeerResponder &Respond) {
+  const WatchedGroup *W = watched(S, Request.database());
+  peer::v1::PeerMessage M;
+  auto *Answer = M.mutable_vote_answer();
+  Answer->set_database(Request.database());
+  Answer->set_term(Request.term());
+  // A proxy that does not watch the primary has no evidence against it.
+  Answer->set_primary_reachable(
+      !W || primaryReachable(W->Failover, Request.term(), Request.primary(),
+                             S.Now));
+  Respond(std::move(M));
+}
+
+} // namespace eelgrassloom::detail
--- a/packages/proxy/src/controlio.cpp
+++ b/packages/proxy/src/controlio.cpp
@@ -134,6 +134,9 @@
 
 void peerSend(ControlState &S, const std::string &Address,
               peer::v1::PeerMessage Message) {
+  // A member that was just forgotten has no address.
+  if (Address.empty())
+    return;
   S.C.Peers->send(translated(S.C.Options, Address), std::move(Message));
 }
 
--- a/packages/proxy/src/controlpeers.cpp
+++ b/packages/proxy/src/controlpeers.cpp
@@ -1,7 +1,6 @@
 #include "controlstate.h"
 #include "peerwire.h"
 #include "proxy/configwire.h"
-#include <algorithm>
 
 namespace eelgrassloom::detail {
 namespace {
@@ -219,7 +218,7 @@
     memberReceived(S, M);
     break;
   case peer::v1::PeerMessage::kDigest:
-    S.DigestSeen = true;
+    S.DigestSeen = S.DigestSeen || M.digest().answer();
     applySpread(S, received(S.Spread, M.from(), spreadDigest(M.digest())));
     break;
   case peer::v1::PeerMessage::kItems:
--- /dev/null
+++ b/packages/proxy/src/controlprobe.cpp
@@ -0,0 +1,181 @@
+#include "controlstate.h"
+#include "proxy/configwire.h"
+
+namespace eelgrassloom::detail {
+namespace {
+
+/// Longest wait for the answer to a probe, or for a new connection: several
+/// attempts must fit into the shortest failover tolerance.
+constexpr Duration LongestProbe = std::chrono::milliseconds(250);
+
+Duration probeTimeout(const ControlState &S) {
+  return std::min(LongestProbe, S.C.Options.FailoverTolerance / 3);
+}
+
+ProbeSlot *slotOf(ControlState &S, const UpstreamId &Id, std::uint64_t Slot) {
+  auto It = S.Probes.find(Id);
+  return It != S.Probes.end() && It->second.Id == Slot ? &It->second : nullptr;
+}
+
+void closeProbe(ControlState &S, ProbeSlot &P) {
+  if (P.Connection)
+    S.C.Upstreams->Close(*P.Connection);
+  P.Connection.reset();
+}
+
+void setSuspected(ControlState &S, const UpstreamId &Id, bool Suspected) {
+  auto It = S.Seen.find(Id);
+  if (It == S.Seen.end() || It->second.Suspected == Suspected)
+    return;
+  It->second.Suspected = Suspected;
+}
+
+void probeFailed(ControlState &S, const UpstreamId &Id, ProbeSlot &P,
+                 bool NewConnection) {
+  closeProbe(S, P);
+  P.Busy = false;
+  // A lost connection is replaced at once; only new connections that fail say
+  // something about the upstream.
+  P.Next = NewConnection ? S.Now + S.C.Options.ProbeInterval : S.Now;
+  if (!NewConnection)
+    return;
+  UpstreamContact Contact;
+  Contact.Upstream = Id;
+  Contact.StartedAt = P.Started;
+  std::string Database = P.Database;
+  setSuspected(S, Id, true);
+  stepGroup(S, Database, Contact);
+}
+
+void probeAnswered(ControlState &S, const UpstreamId &Id, std::uint64_t Slot,
+                   const UpstreamReply &R, bool NewConnection) {
+  ProbeSlot *P = slotOf(S, Id, Slot);
+  if (!P)
+    return;
+  if (R.Code != UpstreamCode::Ok) {
+    probeFailed(S, Id, *P, NewConnection);
+    return;
+  }
+  P->Busy = false;
+  P->Next = P->Started + S.C.Options.ProbeInterval;
+  std::string Database = P->Database;
+  statusSeen(S, Database, R.Status);
+}
+
+void startProbe(ControlState &S, const UpstreamId &Id, ProbeSlot &P) {
+  P.Busy = true;
+  P.Started = S.Now;
+  auto Handler = [Post = S.Post, Id, Slot = P.Id,
+                  New = !P.Connection](const UpstreamReply &R) {
+    Post([=](ControlState &State) { probeAnswered(State, Id, Slot, R, New); });
+  };
+  if (!P.Connection)
+    P.Connection = S.C.Upstreams->Connect(
+        {P.Address, P.Database, S.C.Options.Id}, probeTimeout(S), Handler);
+  else
+    S.C.Upstreams->Call(*P.Connection, UpstreamCall(), probeTimeout(S),
+                        Handler);
+}
+
+/// Upstreams of a watched database that this thread probes: the primary, or
+/// all while it is unknown. The data path probes the owned ones.
+std::vector<const Upstream *> targets(const ControlState &S,
+                                      const Database &D) {
+  std::vector<const Upstream *> Out;
+  auto Known = S.Groups.find(D.Name);
+  const Upstream *Primary =
+      Known == S.Groups.end() ? nullptr
+                              : findUpstream(D, Known->second.Record.Primary);
+  for (const Upstream &U : D.Upstreams)
+    if (!Primary || Primary == &U)
+      Out.push_back(&U);
+  return Out;
+}
+
+/// Takes a primary from its status while no record names one.
+void learnPrimary(ControlState &S, const std::string &Database,
+                  const UpstreamStatus &Status) {
+  if (Status.UpstreamRole != Role::Primary)
+    return;
+  auto Known = S.Groups.find(Database);
+  if (Known != S.Groups.end() && !Known->second.Learned)
+    return;
+  GroupRecord R;
+  R.Database = Database;
+  R.Term = Status.Line.empty() ? Status.RaisedTerm : Status.Line.back().Term;
+  // A primary whose upstream has promised to a higher term is replaced.
+  if (R.Term == 0 || Status.RaisedTerm > R.Term)
+    return;
+  R.Phase = GroupPhase::Stable;
+  R.Primary = Status.Id;
+  R.Line = Status.Line;
+  adoptGroup(S, R, true);
+}
+
+} // namespace
+
+void configureProbes(ControlState &S) {
+  std::map<UpstreamId, std::pair<std::string, std::string>> Wanted;
+  for (const auto &Entry : S.Watched)
+    if (const Database *D = findDatabase(S.Config, Entry.first))
+      for (const Upstream *U : targets(S, *D))
+        Wanted[U->Id] = {D->Name, translated(S.C.Options, U->Address)};
+  for (auto It = S.Probes.begin(); It != S.Probes.end();) {
+    auto Found = Wanted.find(It->first);
+    if (Found != Wanted.end() && Found->second.first == It->second.Database &&
+        Found->second.second == It->second.Address) {
+      ++It;
+      continue;
+    }
+    closeProbe(S, It->second);
+    It = S.Probes.erase(It);
+  }
+  for (const auto &Entry : Wanted) {
+    auto [It, New] = S.Probes.try_emplace(Entry.first);
+    if (!New)
+      continue;
+    It->second.Database = Entry.second.first;
+    It->second.Address = Entry.second.second;
+    It->second.Next = S.Now;
+    It->second.Id = S.NextSlot++;
+  }
+}
+
+void tickProbes(ControlState &S) {
+  for (auto &Entry : S.Probes)
+    if (!Entry.second.Busy && S.Now >= Entry.second.Next)
+      startProbe(S, Entry.first, Entry.second);
+}
+
+void statusSeen(ControlState &S, const std::string &Database,
+                const UpstreamStatus &Status) {
+  if (Status.Id.empty())
+    return;
+  S.Seen[Status.Id] = {Database, Status, S.Now, false};
+  learnPrimary(S, Database, Status);
+  leavingSeen(S, Status.Id, Status.Leaving);
+  UpstreamContact Contact;
+  Contact.Upstream = Status.Id;
+  Contact.StartedAt = S.Now;
+  Contact.Status = configwire::logStatus(Status);
+  stepGroup(S, Database, Contact);
+}
+
+void connectionAttempted(ControlState &S, const UpstreamId &Id, bool Opened) {
+  setSuspected(S, Id, !Opened);
+}
+
+void leavingSeen(ControlState &S, const UpstreamId &Id, bool Leaving) {
+  if (S.LeavingByStatus.contains(Id) == Leaving)
+    return;
+  if (Leaving)
+    S.LeavingByStatus.insert(Id);
+  else
+    S.LeavingByStatus.erase(Id);
+  S.ViewDirty = true;
+  const Item *Known = find(S.Spread, "leaving/" + Id);
+  std::uint64_t Version = Known ? Known->Version + 1 : 1;
+  putItems(S, {{"leaving/" + Id, Version, Leaving ? "1" : "0"}});
+}
+
+} // namespace eelgrassloom::detail
