--- a/packages/proxy/src/control.cpp
+++ b/packages/proxy/src/control.cpp
@@ -30,7 +30,7 @@
 /// A call to the outside ended.
 struct CompletionEvent {
   Completion Apply;
-  /// Pauses that this process had survived when the call started.
+  /// Epoch in which the call started.
   std::uint64_t Epoch = 0;
 };
 
@@ -49,7 +49,6 @@
   /// answer, and only the newest counts.
   std::map<UpstreamId, std::pair<std::string, UpstreamStatus>> Statuses;
   bool Stopping = false;
-  std::atomic<std::uint64_t> Epoch{0};
 };
 
 void post(ControlInbox &I, ControlEvent E) {
@@ -74,11 +73,7 @@
     S.Now = S.C.Time->now();
     S.Started = S.Now;
     LastTick = S.Now;
-    S.Post = [Box = Box](Completion Apply) {
-      // The epoch is that of the end of the call; step() drops completions of
-      // calls that ended before the pause was noticed.
-      post(*Box, CompletionEvent{std::move(Apply), Box->Epoch.load()});
-    };
+    startEpoch();
     startMembership(S);
   }
 
@@ -179,10 +174,18 @@
     return !Box->Stopping;
   }
 
+  /// Calls that start from now on belong to a new epoch; the ends of earlier
+  /// calls are dropped.
+  void startEpoch() {
+    S.Post = [Box = Box, Started = ++Epoch](Completion Apply) {
+      post(*Box, CompletionEvent{std::move(Apply), Started});
+    };
+  }
+
   void pauseFound(Duration Gap) {
     S.C.Events->record(events::PauseDetected, {},
                        "no tick for " + std::to_string(toMillis(Gap)) + " ms");
-    Box->Epoch.fetch_add(1);
+    startEpoch();
     {
       // Statuses from before the pause prove nothing about the present.
       std::lock_guard<std::mutex> Lock(Box->Mutex);
@@ -218,7 +221,7 @@
     applyMembership(S, announceLeaving(S.Members, S.Now));
   }
   void handle(CompletionEvent &E) {
-    if (E.Epoch == Box->Epoch.load())
+    if (E.Epoch == Epoch)
       E.Apply(S);
   }
 
@@ -233,6 +236,8 @@
   std::shared_ptr<ControlInbox> Box;
   prometheus::Counter &Lost;
   ControlState S;
+  /// Number of pauses so far, from 1.
+  std::uint64_t Epoch = 0;
   Instant LastTick;
   Instant NextGraceCheck;
   std::thread Worker;
--- /dev/null
+++ b/packages/proxy/src/operatorplans.cpp
@@ -0,0 +1,256 @@
+#include "proxy/configwire.h"
+#include "proxy/operators.h"
+#include <future>
+#include <optional>
+
+namespace eelgrassloom {
+namespace detail {
+namespace {
+
+/// An operator rather waits than repeats a command.
+constexpr Duration OperatorPlatformTimeout = std::chrono::seconds(2);
+/// Plans that are not confirmed lapse after a working day.
+constexpr std::uint32_t PlanLeaseMillis = 8 * 3600 * 1000;
+/// Reads of a key after a lost response.
+constexpr int ReadBackAttempts = 3;
+
+PlatformReply get(const OperatorContext &C, const std::string &Key) {
+  auto Promise = std::make_shared<std::promise<PlatformReply>>();
+  auto Future = Promise->get_future();
+  C.Platform->Get(
+      *C.PlatformConnection, Key, OperatorPlatformTimeout,
+      [Promise](const PlatformReply &R) { Promise->set_value(R); });
+  return Future.get();
+}
+
+PlatformReply swap(const OperatorContext &C, const PlatformEntry &Entry,
+                   std::uint64_t Expected, std::uint32_t LeaseMillis) {
+  auto Promise = std::make_shared<std::promise<PlatformReply>>();
+  auto Future = Promise->get_future();
+  C.Platform->CompareAndSwap(
+      *C.PlatformConnection, Entry, Expected, LeaseMillis,
+      OperatorPlatformTimeout,
+      [Promise](const PlatformReply &R) { Promise->set_value(R); });
+  return Future.get();
+}
+
+std::string planKey(const std::string &Id) { return "plan/" + Id; }
+
+void addFinding(operators::v1::PlanAnswer &A, const Finding &F) {
+  auto *Out = A.add_findings();
+  Out->set_place(F.Place);
+  Out->set_value(F.Value);
+  Out->set_allowed(F.Allowed);
+}
+
+operators::v1::PlanAnswer refusal(const std::vector<Finding> &Findings) {
+  operators::v1::PlanAnswer A;
+  for (const Finding &F : Findings)
+    addFinding(A, F);
+  return A;
+}
+
+/// The stored configuration; version 0 if there is none.
+struct StoredConfiguration {
+  PlatformCode Code = PlatformCode::Unavailable;
+  std::uint64_t Revision = 0;
+  config::v1::Configuration Wire;
+  Result<Configuration> Value = Result<Configuration>::success({});
+};
+
+StoredConfiguration storedConfiguration(const PlatformReply &R) {
+  StoredConfiguration S;
+  S.Code = R.Code;
+  S.Revision = R.Entry.Revision;
+  if (R.Code == PlatformCode::Unavailable || S.Revision == 0)
+    return S;
+  if (!S.Wire.ParseFromString(R.Entry.Value))
+    S.Value = Result<Configuration>::failure(
+        {{"config", "", "a configuration message"}});
+  else
+    S.Value = configwire::configuration(S.Wire);
+  return S;
+}
+
+config::v1::Plan wirePlan(const Plan &P, const Configuration &Base) {
+  config::v1::Plan Wire;
+  Wire.set_id(P.Id);
+  Wire.set_base_version(P.BaseVersion);
+  *Wire.mutable_target() = configwire::wire(P.Target);
+  *Wire.mutable_base() = configwire::wire(Base);
+  for (const Change &C : P.Changes)
+    *Wire.add_changes() = configwire::wire(C);
+  return Wire;
+}
+
+/// Stores the plan; the same content has the same id, so that a stored plan of
+/// that id is this one.
+bool storePlan(const OperatorContext &C, const config::v1::Plan &P) {
+  PlatformEntry Entry{planKey(P.id()), P.SerializeAsString(), 0};
+  PlatformReply R = swap(C, Entry, 0, PlanLeaseMillis);
+  if (R.Code == PlatformCode::Ok || R.Code == PlatformCode::Conflict)
+    return true;
+  PlatformReply Back = get(C, Entry.Key);
+  return Back.Code == PlatformCode::Ok && Back.Entry.Revision != 0;
+}
+
+operators::v1::ConfirmAnswer answer(operators::v1::ConfirmOutcome Outcome,
+                                    std::uint64_t Version,
+                                    const std::string &Message) {
+  operators::v1::ConfirmAnswer A;
+  A.set_outcome(Outcome);
+  A.set_version(Version);
+  A.set_message(Message);
+  return A;
+}
+
+operators::v1::ConfirmAnswer unknown(const std::string &Message) {
+  return answer(operators::v1::CONFIRM_OUTCOME_UNKNOWN, 0, Message);
+}
+
+operators::v1::ConfirmAnswer accepted(const OperatorContext &C,
+                                      const config::v1::Plan &P) {
+  C.Events->record(events::PlanConfirmed, {"", "", "", "", P.id()},
+                   "version " + std::to_string(P.target().version()));
+  C.Controller->refresh();
+  return answer(operators::v1::CONFIRM_OUTCOME_ACCEPTED, P.target().version(),
+                "accepted as version " + std::to_string(P.target().version()));
+}
+
+/// True if the stored configuration is the plan's target.
+bool isTarget(const StoredConfiguration &Stored, const config::v1::Plan &P) {
+  return Stored.Revision != 0 && Stored.Value.ok() &&
+         Stored.Wire.SerializeAsString() == P.target().SerializeAsString();
+}
+
+/// The plan in the kernel's form; empty if the stored value is not valid.
+std::optional<Plan> kernelPlan(const config::v1::Plan &Wire) {
+  auto Target = configwire::configuration(Wire.target());
+  if (!Target)
+    return std::nullopt;
+  Plan P{Wire.id(), Wire.base_version(), Target.value(), {}};
+  for (const auto &C : Wire.changes())
+    P.Changes.push_back(configwire::change(C));
+  return P;
+}
+
+std::optional<Configuration> baseOf(const config::v1::Plan &Wire) {
+  if (Wire.base_version() == 0)
+    return Configuration();
+  auto Base = configwire::configuration(Wire.base());
+  if (!Base)
+    return std::nullopt;
+  return Base.value();
+}
+
+operators::v1::ConfirmAnswer conflict(const OperatorContext &C,
+                                      const config::v1::Plan &Wire,
+                                      const StoredConfiguration &Stored) {
+  C.Events->record(events::PlanConflict, {"", "", "", "", Wire.id()},
+                   "base version " + std::to_string(Wire.base_version()) +
+                       ", present version " +
+                       std::to_string(Stored.Wire.version()));
+  auto A = answer(operators::v1::CONFIRM_OUTCOME_CONFLICT,
+                  Stored.Wire.version(),
+                  "another configuration was accepted first");
+  auto P = kernelPlan(Wire);
+  if (!P || !Stored.Value.ok())
+    return A;
+  auto Base = baseOf(Wire);
+  auto Found = conflictOf(*P, Base ? &*Base : nullptr, Stored.Value.value());
+  if (!Found)
+    return A;
+  A.set_message(Found->Message);
+  for (const Change &Each : Found->Since)
+    *A.add_since() = configwire::wire(Each);
+  return A;
+}
+
+/// The response of the compare-and-swap was lost: it ran if the stored
+/// configuration is the target.
+operators::v1::ConfirmAnswer readBack(const OperatorContext &C,
+                                      const config::v1::Plan &P) {
+  for (int I = 0; I < ReadBackAttempts; ++I) {
+    StoredConfiguration Stored = storedConfiguration(get(C, "config"));
+    if (Stored.Code == PlatformCode::Unavailable)
+      continue;
+    if (isTarget(Stored, P))
+      return accepted(C, P);
+    if (Stored.Wire.version() > P.base_version())
+      return conflict(C, P, Stored);
+    return unknown("the platform did not answer and has not applied the plan "
+                   "so far; confirm it again");
+  }
+  return unknown("the platform does not answer; the plan may have been "
+                 "applied, see status later or confirm it again");
+}
+
+operators::v1::ConfirmAnswer apply(const OperatorContext &C,
+                                   const config::v1::Plan &P) {
+  StoredConfiguration Stored = storedConfiguration(get(C, "config"));
+  if (Stored.Code == PlatformCode::Unavailable)
+    return unknown("the platform does not answer; nothing was changed by this "
+                   "command");
+  // An earlier confirmation of this plan, by any operator.
+  if (isTarget(Stored, P))
+    return accepted(C, P);
+  if (Stored.Wire.version() != P.base_version())
+    return conflict(C, P, Stored);
+  PlatformEntry Entry{"config", P.target().SerializeAsString(), 0};
+  PlatformReply R = swap(C, Entry, Stored.Revision, 0);
+  if (R.Code == PlatformCode::Ok)
+    return accepted(C, P);
+  if (R.Code == PlatformCode::Unavailable)
+    return readBack(C, P);
+  StoredConfiguration Winner = storedConfiguration(R);
+  return isTarget(Winner, P) ? accepted(C, P) : conflict(C, P, Winner);
+}
+
+} // namespace
+} // namespace detail
+
+operators::v1::PlanAnswer planIntent(const OperatorContext &Context,
+                                     const operators::v1::Intent &Intent) {
+  auto Wanted = configwire::intent(Intent);
+  if (!Wanted)
+    return detail::refusal(Wanted.findings());
+  auto Stored = detail::storedConfiguration(detail::get(Context, "config"));
+  if (Stored.Code == PlatformCode::Unavailable)
+    return detail::refusal(
+        {{"platform", Context.Options.Platform, "a platform that answers"}});
+  if (!Stored.Value)
+    return detail::refusal(Stored.Value.findings());
+  const Configuration &Base = Stored.Value.value();
+  auto Made = makePlan(Base, Wanted.value());
+  if (!Made)
+    return detail::refusal(Made.findings());
+  config::v1::Plan Wire = detail::wirePlan(Made.value(), Base);
+  if (!detail::storePlan(Context, Wire))
+    return detail::refusal(
+        {{"platform", Context.Options.Platform, "a platform that answers"}});
+  Context.Events->record(events::PlanStored, {"", "", "", "", Wire.id()},
+                         std::to_string(Wire.changes_size()) +
+                             " changes to version " +
+                             std::to_string(Wire.base_version()));
+  operators::v1::PlanAnswer A;
+  A.set_plan_id(Wire.id());
+  A.set_base_version(Wire.base_version());
+  *A.mutable_changes() = Wire.changes();
+  return A;
+}
+
+operators::v1::ConfirmAnswer confirmPlan(const OperatorContext &Context,
+                                         const std::string &PlanId) {
+  PlatformReply R = detail::get(Context, detail::planKey(PlanId));
+  if (R.Code == PlatformCode::Unavailable)
+    return detail::unknown("the platform does not answer; nothing was changed "
+                           "by this command");
+  config::v1::Plan P;
+  if (R.Entry.Revision == 0 || !P.ParseFromString(R.Entry.Value))
+    return detail::answer(operators::v1::CONFIRM_OUTCOME_NO_SUCH_PLAN, 0,
+                          "there is no plan \"" + PlanId +
+                              "\"; plans lapse after 8 hours");
+  return detail::apply(Context, P);
+}
+
+} // namespace eelgrassloom
