--- /dev/null
+++ b/tests/standin/src/database.cpp
@@ -0,0 +1,442 @@
+#include "database.h"
+#include <algorithm>
+#include <chrono>
+
+namespace eelgrassloom::standin {
+namespace {
+
+using Line = google::protobuf::RepeatedPtrField<types::v1::TermStart>;
+using types::v1::UPSTREAM_ROLE_PRIMARY;
+using types::v1::UPSTREAM_ROLE_REPLICA;
+using upstream::v1::CODE_BEHIND;
+using upstream::v1::CODE_ERROR;
+using upstream::v1::CODE_ID_EXPIRED;
+using upstream::v1::CODE_NOT_PRIMARY;
+using upstream::v1::CODE_OK;
+using upstream::v1::CODE_POSITION_LOST;
+using upstream::v1::CODE_STALE_TERM;
+
+constexpr int MaxPullEntries = 1000;
+
+ServerFrame frame(Code C, std::string Message = "") {
+  ServerFrame F;
+  F.set_code(C);
+  F.set_message(std::move(Message));
+  return F;
+}
+
+bool same(const Position &A, const Position &B) {
+  return A.term() == B.term() && A.index() == B.index();
+}
+
+bool same(const Line &A, const Line &B) {
+  return std::equal(A.begin(), A.end(), B.begin(), B.end(),
+                    [](const auto &X, const auto &Y) {
+                      return X.term() == Y.term() && X.start() == Y.start();
+                    });
+}
+
+/// Last index that two logs with these histories have in common.
+std::uint64_t commonIndex(const Line &A, std::uint64_t LastA, const Line &B,
+                          std::uint64_t LastB) {
+  std::uint64_t Common = std::min(LastA, LastB);
+  int I = 0;
+  while (I < A.size() && I < B.size() && A[I].term() == B[I].term() &&
+         A[I].start() == B[I].start())
+    ++I;
+  if (I < A.size())
+    Common = std::min(Common, A[I].start());
+  if (I < B.size())
+    Common = std::min(Common, B[I].start());
+  return Common;
+}
+
+/// Applies a statement to a value; false for a statement that fails.
+bool apply(const v1::Statement &S, v1::Value &Content) {
+  switch (S.operation_case()) {
+  case v1::Statement::kGet:
+    return true;
+  case v1::Statement::kPut:
+    Content.set_data(S.put());
+    return true;
+  case v1::Statement::kAppend:
+    Content.add_list(S.append());
+    return true;
+  case v1::Statement::kAdd:
+    Content.set_number(Content.number() + S.add());
+    return true;
+  default:
+    return false;
+  }
+}
+
+/// Parses a statement and applies it to a copy of the value under its key.
+bool evaluate(const std::string &Bytes, v1::Statement &S,
+              const std::function<v1::Value(const std::string &)> &ValueOf,
+              v1::Value &Content, ServerFrame &Failure) {
+  if (!S.ParseFromString(Bytes)) {
+    Failure = frame(CODE_ERROR, "statement is not readable");
+    return false;
+  }
+  Content = ValueOf(S.key());
+  if (apply(S, Content))
+    return true;
+  Failure = frame(CODE_ERROR, S.has_fail() ? S.fail() : "no operation");
+  return false;
+}
+
+} // namespace
+
+std::int64_t monotonicUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+void Database::restore(const v1::JournalRecord &Record) {
+  auto Unused = std::exchange(Journal, {});
+  if (Record.has_entry())
+    append(Record.entry());
+  else if (Record.has_terms())
+    Terms = Record.terms();
+  else
+    cut(Record.cut());
+  Journal = std::move(Unused);
+}
+
+ServerFrame Database::raiseTerm(std::uint64_t Term,
+                                const std::string &Candidate) {
+  bool Repeated = Term == Terms.raised_term() && !Candidate.empty() &&
+                  Candidate == Terms.candidate();
+  if (Term <= Terms.raised_term() && !Repeated)
+    return frame(CODE_STALE_TERM, "term is already raised");
+  if (!Repeated) {
+    Terms.set_raised_term(Term);
+    Terms.set_candidate(Candidate);
+    storeTerms();
+  }
+  return frame(CODE_OK);
+}
+
+ServerFrame Database::promote(std::uint64_t Term,
+                              const std::string &Candidate) {
+  if (Term < Terms.raised_term())
+    return frame(CODE_STALE_TERM, "a higher term is raised");
+  if (Term != Terms.raised_term() || Candidate != Terms.candidate())
+    return frame(CODE_ERROR, "term is not raised for this candidate");
+  if (Terms.role_term() == Term)
+    return Terms.role() == UPSTREAM_ROLE_PRIMARY
+               ? frame(CODE_OK)
+               : frame(CODE_ERROR, "follows another primary of this term");
+  // Terms that the log has no entry of are not part of the new line.
+  auto *History = Terms.mutable_history();
+  while (!History->empty() && History->rbegin()->start() >= Log.size())
+    History->RemoveLast();
+  auto *Start = History->Add();
+  Start->set_term(Term);
+  Start->set_start(Log.size());
+  Terms.set_role(UPSTREAM_ROLE_PRIMARY);
+  Terms.set_role_term(Term);
+  Terms.clear_primary_address();
+  storeTerms();
+  // With an entry of the new term, this log compares as newer than any log
+  // that misses the term.
+  commitEntry({});
+  return frame(CODE_OK);
+}
+
+ServerFrame Database::follow(std::uint64_t Term,
+                             const std::string &PrimaryAddress) {
+  if (Term < Terms.raised_term())
+    return frame(CODE_STALE_TERM, "a higher term is raised");
+  if (Terms.role_term() == Term && Terms.role() == UPSTREAM_ROLE_PRIMARY)
+    return frame(CODE_ERROR, "is the primary of this term");
+  if (Term > Terms.raised_term()) {
+    Terms.set_raised_term(Term);
+    Terms.clear_candidate();
+  }
+  Terms.set_role(UPSTREAM_ROLE_REPLICA);
+  Terms.set_role_term(Term);
+  Terms.set_primary_address(PrimaryAddress);
+  storeTerms();
+  return frame(CODE_OK);
+}
+
+ServerFrame Database::confirm(std::uint64_t Term, const Position &P) const {
+  if (Terms.raised_term() > Term)
+    return frame(CODE_STALE_TERM, "a higher term is raised");
+  if (Terms.raised_term() < Term)
+    return frame(CODE_BEHIND, "term is not raised");
+  return frame(P.index() == 0 ? CODE_OK : holds(P));
+}
+
+Code Database::holds(const Position &P) const {
+  if (P.index() == 0)
+    return CODE_OK;
+  bool OwnTerm = false;
+  bool LaterTerm = false;
+  for (const auto &T : Terms.history()) {
+    // Entries of a term lie after its start and end where the next one starts.
+    bool Before = T.start() < P.index();
+    if (T.term() == P.term() ? !Before : T.term() > P.term() && Before)
+      return CODE_POSITION_LOST;
+    OwnTerm |= T.term() == P.term();
+    LaterTerm |= T.term() > P.term();
+  }
+  if (!OwnTerm)
+    return LaterTerm ? CODE_POSITION_LOST : CODE_BEHIND;
+  return P.index() <= Log.size() ? CODE_OK : CODE_BEHIND;
+}
+
+ServerFrame Database::read(const upstream::v1::Execute &Request) const {
+  if (Code C = holds(Request.min_position()); C != CODE_OK)
+    return frame(C);
+  v1::Statement S;
+  v1::Value Content;
+  ServerFrame F;
+  auto ValueOf = [this](const std::string &Key) { return cell(Key).Content; };
+  if (!evaluate(Request.statement(), S, ValueOf, Content, F))
+    return F;
+  if (!S.has_get())
+    return frame(CODE_ERROR, "a read must not change anything");
+  F = frame(CODE_OK);
+  F.set_result(Content.SerializeAsString());
+  *F.mutable_position() = applied();
+  return F;
+}
+
+ServerFrame Database::write(const upstream::v1::Execute &Request,
+                            std::int64_t NowMs) {
+  ServerFrame F;
+  if (!mayWrite(Request.term(), F) ||
+      findRecord(Request.request_id(), Request.issued_at_ms(), NowMs, F))
+    return F;
+  v1::LogEntry Entry;
+  v1::Value Content;
+  auto ValueOf = [this](const std::string &Key) { return cell(Key).Content; };
+  if (!evaluate(Request.statement(), *Entry.add_statements(), ValueOf, Content,
+                F))
+    return F;
+  F = frame(CODE_OK);
+  F.set_result(Content.SerializeAsString());
+  Entry.set_request_id(Request.request_id());
+  Entry.set_issued_at_ms(Request.issued_at_ms());
+  if (!Request.request_id().empty())
+    Entry.set_result(F.result());
+  *F.mutable_position() = commitEntry(std::move(Entry));
+  return F;
+}
+
+ServerFrame Database::begin(const upstream::v1::Begin &Request,
+                            Transaction &T) const {
+  ServerFrame F;
+  if (Request.write() && !mayWrite(Request.term(), F))
+    return F;
+  T = {};
+  T.Write = Request.write();
+  T.Term = Request.term();
+  return frame(CODE_OK);
+}
+
+ServerFrame Database::run(Transaction &T,
+                          const upstream::v1::Execute &Request) const {
+  if (Code C = holds(Request.min_position()); C != CODE_OK)
+    return frame(C);
+  v1::Statement S;
+  v1::Value Content;
+  ServerFrame F;
+  auto ValueOf = [&](const std::string &Key) {
+    auto It = T.Values.find(Key);
+    return It == T.Values.end() ? cell(Key).Content : It->second;
+  };
+  if (!evaluate(Request.statement(), S, ValueOf, Content, F))
+    return F;
+  if (!S.has_get() && !T.Write)
+    return frame(CODE_ERROR, "the transaction is read-only");
+  // Later uses of the key see this value even if others change it.
+  T.Seen.try_emplace(S.key(), cell(S.key()).Changed);
+  T.Values[S.key()] = Content;
+  if (!S.has_get())
+    T.Statements.push_back(S);
+  F = frame(CODE_OK);
+  F.set_result(Content.SerializeAsString());
+  *F.mutable_position() = applied();
+  return F;
+}
+
+ServerFrame Database::commit(const Transaction &T,
+                             const upstream::v1::Commit &Request,
+                             std::int64_t NowMs) {
+  ServerFrame F;
+  if (T.Write &&
+      (!mayWrite(T.Term, F) ||
+       findRecord(Request.request_id(), Request.issued_at_ms(), NowMs, F)))
+    return F;
+  for (const auto &[Key, Changed] : T.Seen)
+    if (!same(cell(Key).Changed, Changed))
+      return frame(CODE_ERROR, "conflict with another transaction on " + Key);
+  F = frame(CODE_OK);
+  if (!T.Write) {
+    *F.mutable_position() = applied();
+    return F;
+  }
+  v1::LogEntry Entry;
+  Entry.mutable_statements()->Add(T.Statements.begin(), T.Statements.end());
+  Entry.set_request_id(Request.request_id());
+  Entry.set_issued_at_ms(Request.issued_at_ms());
+  *F.mutable_position() = commitEntry(std::move(Entry));
+  return F;
+}
+
+v1::PullAnswer Database::pull(const v1::PullRequest &Request,
+                              std::int64_t NewestUs) const {
+  v1::PullAnswer Answer;
+  if (Terms.raised_term() > Request.term())
+    Answer.set_code(CODE_STALE_TERM);
+  else if (Terms.role() != UPSTREAM_ROLE_PRIMARY ||
+           Terms.role_term() != Request.term())
+    Answer.set_code(CODE_NOT_PRIMARY);
+  else
+    Answer.set_code(CODE_OK);
+  if (Answer.code() != CODE_OK)
+    return Answer;
+  *Answer.mutable_history() = Terms.history();
+  std::uint64_t Common = commonIndex(Terms.history(), Log.size(),
+                                     Request.history(), Request.last_index());
+  Answer.set_common(Common);
+  for (std::uint64_t I = Common;
+       I < Log.size() && Log[I].committed_us() <= NewestUs &&
+       Answer.entries_size() < MaxPullEntries;
+       ++I)
+    *Answer.add_entries() = Log[I];
+  return Answer;
+}
+
+bool Database::nextPull(v1::PullRequest &Request,
+                        std::string &PrimaryAddress) const {
+  if (Terms.role() != UPSTREAM_ROLE_REPLICA ||
+      Terms.role_term() != Terms.raised_term() || Terms.role_term() == 0)
+    return false;
+  Request.set_term(Terms.role_term());
+  *Request.mutable_history() = Terms.history();
+  Request.set_last_index(Log.size());
+  PrimaryAddress = Terms.primary_address();
+  return true;
+}
+
+bool Database::replicate(std::uint64_t Term, const v1::PullAnswer &Answer) {
+  if (Answer.code() != CODE_OK || Terms.role() != UPSTREAM_ROLE_REPLICA ||
+      Terms.role_term() != Term || Terms.raised_term() != Term)
+    return false;
+  if (Log.size() > Answer.common())
+    cut(Answer.common());
+  if (!same(Terms.history(), Answer.history())) {
+    *Terms.mutable_history() = Answer.history();
+    storeTerms();
+  }
+  for (const auto &Entry : Answer.entries())
+    if (Entry.position().index() == Log.size() + 1)
+      append(Entry);
+  return true;
+}
+
+types::v1::UpstreamStatus Database::status() const {
+  types::v1::UpstreamStatus S;
+  S.set_upstream(Id);
+  S.set_role(Terms.role());
+  S.set_raised_term(Terms.raised_term());
+  *S.mutable_applied() = applied();
+  *S.mutable_history() = Terms.history();
+  S.set_leaving(Leaving);
+  return S;
+}
+
+Position Database::applied() const {
+  return Log.empty() ? Position() : Log.back().position();
+}
+
+bool Database::mayWrite(std::uint64_t Term, ServerFrame &Rejection) const {
+  if (Term < Terms.raised_term())
+    Rejection = frame(CODE_STALE_TERM, "a higher term is raised");
+  else if (Terms.role() != UPSTREAM_ROLE_PRIMARY || Term != Terms.role_term())
+    Rejection = frame(CODE_NOT_PRIMARY, "is not the primary of this term");
+  else
+    return true;
+  return false;
+}
+
+bool Database::findRecord(const std::string &RequestId, std::int64_t IssuedAtMs,
+                          std::int64_t NowMs, ServerFrame &Answer) const {
+  if (RequestId.empty())
+    return false;
+  if (IssuedAtMs < NowMs - RetentionMs) {
+    Answer = frame(CODE_ID_EXPIRED, "issued before the retention horizon");
+    return true;
+  }
+  auto It = Records.find(RequestId);
+  if (It == Records.end())
+    return false;
+  const v1::LogEntry &Entry = Log[It->second - 1];
+  Answer = frame(CODE_OK);
+  Answer.set_result(Entry.result());
+  *Answer.mutable_position() = Entry.position();
+  Answer.set_recorded(true);
+  return true;
+}
+
+const Database::Cell &Database::cell(const std::string &Key) const {
+  static const Cell Absent;
+  auto It = Cells.find(Key);
+  return It == Cells.end() ? Absent : It->second;
+}
+
+Position Database::commitEntry(v1::LogEntry Entry) {
+  Entry.mutable_position()->set_term(Terms.role_term());
+  Entry.mutable_position()->set_index(Log.size() + 1);
+  Entry.set_committed_us(monotonicUs());
+  append(Entry);
+  return Entry.position();
+}
+
+void Database::append(const v1::LogEntry &Entry) {
+  v1::JournalRecord Record;
+  if (Journal)
+    *Record.mutable_entry() = Entry;
+  record(Record);
+  for (const v1::Statement &S : Entry.statements()) {
+    Cell &C = Cells[S.key()];
+    apply(S, C.Content);
+    C.Changed = Entry.position();
+  }
+  if (!Entry.request_id().empty())
+    Records[Entry.request_id()] = Entry.position().index();
+  Log.push_back(Entry);
+}
+
+void Database::cut(std::uint64_t Index) {
+  v1::JournalRecord Record;
+  Record.set_cut(Index);
+  record(Record);
+  std::deque<v1::LogEntry> Kept;
+  Kept.swap(Log);
+  Kept.resize(std::min<std::size_t>(Index, Kept.size()));
+  Cells.clear();
+  Records.clear();
+  auto Unused = std::exchange(Journal, {});
+  for (const v1::LogEntry &Entry : Kept)
+    append(Entry);
+  Journal = std::move(Unused);
+}
+
+void Database::storeTerms() {
+  v1::JournalRecord Record;
+  *Record.mutable_terms() = Terms;
+  record(Record);
+}
+
+void Database::record(const v1::JournalRecord &Record) const {
+  if (Journal)
+    Journal(Record);
+}
+
+} // namespace eelgrassloom::standin
