--- a/tests/fleet/client.cpp
+++ b/tests/fleet/client.cpp
@@ -129,8 +129,8 @@
 
 DirectConnection::~DirectConnection() { Context.TryCancel(); }
 
-upstream::v1::ServerFrame DirectConnection::call(upstream::v1::ClientFrame Frame,
-                                                 unsigned TimeoutMs) {
+upstream::v1::ServerFrame
+DirectConnection::call(upstream::v1::ClientFrame Frame, unsigned TimeoutMs) {
   Frame.set_exchange_id(++LastExchange);
   upstream::v1::ServerFrame Answer;
   auto Exchange = std::async(std::launch::async, [&] {
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -108,8 +108,8 @@
   Arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, 50);
   Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 200);
   Arguments.SetMaxReceiveMessageSize(-1);
-  return grpc::CreateCustomChannel(
-      Address, grpc::InsecureChannelCredentials(), Arguments);
+  return grpc::CreateCustomChannel(Address, grpc::InsecureChannelCredentials(),
+                                   Arguments);
 }
 
 bool eventually(milliseconds Timeout, const std::function<bool()> &Condition) {
@@ -142,8 +142,7 @@
     for (const ProxySpec &P : T.Proxies)
       for (const char *Part : {"", "/peer", "/metrics"})
         Addresses[P.Id + Part] = newAddress();
-    run("platform",
-        {STANDIN_PLATFORM, "--listen=" + Addresses.at("platform")});
+    run("platform", {STANDIN_PLATFORM, "--listen=" + Addresses.at("platform")});
     if (T.Relay)
       startNetwork();
     for (const auto &Database : T.Config.databases())
@@ -179,12 +178,13 @@
 
 void Fleet::run(const std::string &Name, std::vector<std::string> Command) {
   std::vector<char *> Argv;
+  Argv.reserve(Command.size() + 1);
   for (std::string &Part : Command)
     Argv.push_back(Part.data());
   Argv.push_back(nullptr);
   std::string LogPath = Directory + "/" + Name + ".log";
-  int Log = open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
-                 0600);
+  int Log =
+      open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   pid_t Parent = getpid();
   pid_t Child = fork();
   if (Child == 0) {
@@ -270,8 +270,8 @@
     return Ended;
   });
   if (!Answered || Ended)
-    throw std::runtime_error(Name + " does not start: " +
-                             readFile(Directory + "/" + Name + ".log"));
+    throw std::runtime_error(
+        Name + " does not start: " + readFile(Directory + "/" + Name + ".log"));
 }
 
 void Fleet::startUpstream(const std::string &Id) {
@@ -318,11 +318,9 @@
   platform::v1::CompareAndSwapRequest Request;
   Request.set_key(Key);
   Request.set_value(Value);
-  auto Answer = call(platformAddress(),
-                     &platform::v1::KeyValue::Stub::CompareAndSwap,
-                     platform::v1::KeyValue::NewStub(
-                         makeChannel(platformAddress())),
-                     Request);
+  auto Answer = call(
+      platformAddress(), &platform::v1::KeyValue::Stub::CompareAndSwap,
+      platform::v1::KeyValue::NewStub(makeChannel(platformAddress())), Request);
   if (!Answer.swapped())
     throw std::runtime_error(Key + " is already set");
 }
@@ -367,8 +365,8 @@
       if (Pids.count(P.Id) == 0)
         continue;
       if (wait(P.Id, 0ms) >= 0)
-        throw std::runtime_error(P.Id + " ended: " +
-                                 readFile(Directory + "/" + P.Id + ".log"));
+        throw std::runtime_error(
+            P.Id + " ended: " + readFile(Directory + "/" + P.Id + ".log"));
       grpc::ClientContext Context;
       Context.set_deadline(std::chrono::system_clock::now() + 1s);
       operators::v1::StatusAnswer Answer;
--- a/tests/standin/src/platform.cpp
+++ b/tests/standin/src/platform.cpp
@@ -305,9 +305,8 @@
   grpc::Status SetHosts(grpc::ServerContext *, const v1::HostsRequest *Request,
                         v1::PlatformCounters *Answer) override {
     std::lock_guard Lock(P.Mutex);
-    P.Hosts.push_back(
-        {steady_clock::now() + milliseconds(Request->lag_ms()),
-         {Request->hosts().begin(), Request->hosts().end()}});
+    P.Hosts.push_back({steady_clock::now() + milliseconds(Request->lag_ms()),
+                       {Request->hosts().begin(), Request->hosts().end()}});
     *Answer = counters();
     return grpc::Status::OK;
   }
--- a/tests/standin/src/upstream.cpp
+++ b/tests/standin/src/upstream.cpp
@@ -124,10 +124,10 @@
       v1::PullAnswer Answer =
           Db.pull(Request, monotonicUs() - Request.lag_ms() * 1000LL);
       bool Behind = Db.log().size() > Request.last_index();
-      bool NewTerm = Answer.history_size() != Request.history_size() ||
-                     (Answer.history_size() > 0 &&
-                      Answer.history().rbegin()->term() !=
-                          Request.history().rbegin()->term());
+      bool NewTerm =
+          Answer.history_size() != Request.history_size() ||
+          (Answer.history_size() > 0 && Answer.history().rbegin()->term() !=
+                                            Request.history().rbegin()->term());
       if (Answer.code() != upstream::v1::CODE_OK || NewTerm ||
           Answer.entries_size() > 0 || Answer.common() < Request.last_index() ||
           steady_clock::now() >= Deadline)
@@ -347,7 +347,9 @@
     bool Taken = false;
     if (Received) {
       std::lock_guard Lock(Mutex);
-      Taken = Db.replicate(Request.term(), Answer);
+      // A pull from before a change of the lag must not bypass it.
+      Taken = Request.lag_ms() == Options.LagMs &&
+              Db.replicate(Request.term(), Answer);
       Changed.notify_all();
     } else {
       Channel.reset();
@@ -358,8 +360,6 @@
 }
 
 v1::UpstreamState Server::configure(const v1::UpstreamSettings &In) {
-  if (In.has_lag_ms())
-    Options.LagMs = In.lag_ms();
   if (In.has_service_us())
     Options.ServiceUs = In.service_us();
   if (In.has_slots())
@@ -371,6 +371,8 @@
   v1::UpstreamState State;
   {
     std::lock_guard Lock(Mutex);
+    if (In.has_lag_ms())
+      Options.LagMs = In.lag_ms();
     if (In.has_retention_ms())
       Db.RetentionMs = In.retention_ms();
     if (In.has_leaving())
--- /dev/null
+++ b/tests/standin/test/database-test.cpp
@@ -0,0 +1,286 @@
+#include "database.h"
+#include <doctest/doctest.h>
+
+using namespace eelgrassloom;
+using namespace eelgrassloom::standin;
+using namespace eelgrassloom::upstream::v1;
+
+namespace {
+
+std::string append(const std::string &Key, const std::string &Item) {
+  v1::Statement S;
+  S.set_key(Key);
+  S.set_append(Item);
+  return S.SerializeAsString();
+}
+
+std::string get(const std::string &Key) {
+  v1::Statement S;
+  S.set_key(Key);
+  S.set_get(true);
+  return S.SerializeAsString();
+}
+
+ServerFrame write(Database &Db, std::uint64_t Term, const std::string &Item,
+                  const std::string &RequestId = "") {
+  Execute E;
+  E.set_write(true);
+  E.set_term(Term);
+  E.set_statement(append("k", Item));
+  E.set_request_id(RequestId);
+  E.set_issued_at_ms(1000);
+  return Db.write(E, 1000);
+}
+
+std::string content(const Database &Db) {
+  Execute E;
+  E.set_statement(get("k"));
+  v1::Value V;
+  V.ParseFromString(Db.read(E).result());
+  std::string Text;
+  for (const std::string &Item : V.list())
+    Text += Item;
+  return Text;
+}
+
+Position at(std::uint64_t Term, std::uint64_t Index) {
+  Position P;
+  P.set_term(Term);
+  P.set_index(Index);
+  return P;
+}
+
+bool replicate(Database &Follower, const Database &Primary) {
+  v1::PullRequest Request;
+  std::string Address;
+  return Follower.nextPull(Request, Address) &&
+         Follower.replicate(Request.term(),
+                            Primary.pull(Request, monotonicUs()));
+}
+
+void elect(Database &Db, std::uint64_t Term) {
+  REQUIRE(Db.raiseTerm(Term, "c").code() == CODE_OK);
+  REQUIRE(Db.promote(Term, "c").code() == CODE_OK);
+}
+
+} // namespace
+
+// Guards against two candidates of one term both collecting a promise.
+TEST_CASE("a term is raised for one candidate and never lowered") {
+  Database Db("a");
+  CHECK(Db.raiseTerm(3, "x").code() == CODE_OK);
+  CHECK(Db.raiseTerm(3, "x").code() == CODE_OK);
+  CHECK(Db.raiseTerm(3, "y").code() == CODE_STALE_TERM);
+  CHECK(Db.raiseTerm(2, "x").code() == CODE_STALE_TERM);
+  CHECK(Db.status().raised_term() == 3);
+  CHECK(Db.promote(3, "y").code() != CODE_OK);
+  CHECK(Db.promote(4, "x").code() != CODE_OK);
+  CHECK(Db.promote(3, "x").code() == CODE_OK);
+  CHECK(Db.promote(3, "x").code() == CODE_OK);
+  CHECK(Db.log().size() == 1);
+}
+
+// Guards against a follower of a term becoming a second primary of it.
+TEST_CASE("a follower of a term can't be promoted in it, nor its primary "
+          "follow") {
+  Database Db("a");
+  Db.raiseTerm(2, "x");
+  CHECK(Db.follow(2, "p").code() == CODE_OK);
+  CHECK(Db.promote(2, "x").code() == CODE_ERROR);
+  Database Primary("p");
+  elect(Primary, 2);
+  CHECK(Primary.follow(2, "a").code() == CODE_ERROR);
+  CHECK(Primary.follow(1, "a").code() == CODE_STALE_TERM);
+}
+
+// Guards against acknowledged writes of a replaced primary.
+TEST_CASE("a raised term rejects writes, commits, replication and "
+          "confirmations of lower terms") {
+  Database Primary("p");
+  elect(Primary, 1);
+  Database Follower("f");
+  Follower.follow(1, "p");
+  REQUIRE(write(Primary, 1, "a").code() == CODE_OK);
+  REQUIRE(replicate(Follower, Primary));
+  CHECK(Follower.confirm(1, at(1, 2)).code() == CODE_OK);
+  CHECK(write(Primary, 2, "b").code() == CODE_NOT_PRIMARY);
+  CHECK(write(Follower, 1, "b").code() == CODE_NOT_PRIMARY);
+
+  Transaction T;
+  Begin B;
+  B.set_write(true);
+  B.set_term(1);
+  REQUIRE(Primary.begin(B, T).code() == CODE_OK);
+  REQUIRE(write(Primary, 1, "b").code() == CODE_OK);
+  v1::PullRequest Request;
+  std::string Address;
+  REQUIRE(Follower.nextPull(Request, Address));
+  v1::PullAnswer Late = Primary.pull(Request, monotonicUs());
+  REQUIRE(Late.entries_size() == 1);
+
+  REQUIRE(Follower.raiseTerm(2, "c").code() == CODE_OK);
+  CHECK_FALSE(Follower.replicate(1, Late));
+  CHECK_FALSE(Follower.nextPull(Request, Address));
+  CHECK(Follower.status().applied().index() == 2);
+  CHECK(Follower.confirm(1, at(1, 2)).code() == CODE_STALE_TERM);
+
+  REQUIRE(Primary.raiseTerm(2, "c").code() == CODE_OK);
+  CHECK(write(Primary, 1, "c").code() == CODE_STALE_TERM);
+  CHECK(Primary.commit(T, {}, 1000).code() == CODE_STALE_TERM);
+  CHECK(Primary.confirm(1, {}).code() == CODE_STALE_TERM);
+  CHECK(Primary.pull(Request, monotonicUs()).code() == CODE_STALE_TERM);
+  CHECK(Primary.confirm(3, {}).code() == CODE_BEHIND);
+}
+
+// Guards against a lost suffix that stays visible after a promotion.
+TEST_CASE("a follower cuts its log to the common history and rebuilds its "
+          "state") {
+  Database Old("o");
+  elect(Old, 1);
+  Database New("n");
+  New.follow(1, "o");
+  write(Old, 1, "a", "id-a");
+  REQUIRE(replicate(New, Old));
+  REQUIRE(write(Old, 1, "x", "id-x").position().index() == 3);
+  write(Old, 1, "y");
+  elect(New, 2);
+  REQUIRE(write(New, 2, "b").position().index() == 4);
+  REQUIRE(content(Old) == "axy");
+
+  REQUIRE(Old.follow(2, "n").code() == CODE_OK);
+  REQUIRE(replicate(Old, New));
+  CHECK(content(Old) == "ab");
+  CHECK(Old.status().applied().term() == 2);
+  CHECK(Old.status().history_size() == 2);
+  CHECK(Old.holds(at(1, 2)) == CODE_OK);
+  CHECK(Old.holds(at(1, 3)) == CODE_POSITION_LOST);
+  CHECK(Old.holds(at(2, 2)) == CODE_POSITION_LOST);
+  CHECK(Old.holds(at(2, 4)) == CODE_OK);
+  CHECK(Old.holds(at(2, 5)) == CODE_BEHIND);
+  CHECK(Old.holds(at(3, 1)) == CODE_BEHIND);
+  // The record went with its effect: the retry runs once on the new line.
+  elect(Old, 3);
+  ServerFrame Retry = write(Old, 3, "x", "id-x");
+  CHECK_FALSE(Retry.recorded());
+  CHECK(write(Old, 3, "x", "id-x").recorded());
+  CHECK(content(Old) == "abx");
+  CHECK(write(Old, 3, "a", "id-a").position().index() == 2);
+}
+
+// Guards against a position of an abandoned term that counts as held by a
+// server whose line never had that term.
+TEST_CASE("a position of a term that the line skips is lost") {
+  Database Db("a");
+  elect(Db, 1);
+  write(Db, 1, "a");
+  elect(Db, 3);
+  CHECK(Db.holds(at(2, 3)) == CODE_POSITION_LOST);
+  CHECK(Db.holds(at(2, 1)) == CODE_POSITION_LOST);
+  CHECK(Db.confirm(3, at(2, 3)).code() == CODE_POSITION_LOST);
+}
+
+// Guards against a history that names terms the promoted log has no entry of.
+TEST_CASE("a lagging follower that is promoted drops terms it has not "
+          "reached") {
+  Database First("f");
+  elect(First, 1);
+  write(First, 1, "a");
+  elect(First, 2);
+  write(First, 2, "b");
+  Database Lagging("l");
+  Lagging.follow(2, "f");
+  v1::PullRequest Request;
+  std::string Address;
+  REQUIRE(Lagging.nextPull(Request, Address));
+  v1::PullAnswer Answer = First.pull(Request, monotonicUs());
+  REQUIRE(Answer.entries_size() == 4);
+  Answer.mutable_entries()->DeleteSubrange(1, 3);
+  REQUIRE(Lagging.replicate(2, Answer));
+  CHECK(Lagging.status().history_size() == 2);
+  elect(Lagging, 3);
+  REQUIRE(Lagging.status().history_size() == 2);
+  CHECK(Lagging.status().history(1).term() == 3);
+  CHECK(Lagging.status().history(1).start() == 1);
+  CHECK(Lagging.holds(at(2, 3)) == CODE_POSITION_LOST);
+  CHECK(Lagging.holds(at(1, 2)) == CODE_POSITION_LOST);
+}
+
+// Guards against a repeated effect and against an answer from a forgotten id.
+TEST_CASE("a request id runs once, also after replication and a promotion") {
+  Database Primary("p");
+  elect(Primary, 1);
+  Database Follower("f");
+  Follower.follow(1, "p");
+  ServerFrame First = write(Primary, 1, "a", "id");
+  REQUIRE(replicate(Follower, Primary));
+  elect(Follower, 2);
+  ServerFrame Retry = write(Follower, 2, "a", "id");
+  CHECK(Retry.recorded());
+  CHECK(Retry.result() == First.result());
+  CHECK(Retry.position().term() == 1);
+  CHECK(content(Follower) == "a");
+
+  Execute Late;
+  Late.set_write(true);
+  Late.set_term(2);
+  Late.set_statement(append("k", "a"));
+  Late.set_request_id("id");
+  Late.set_issued_at_ms(1000);
+  CHECK(Follower.write(Late, 1001 + Follower.RetentionMs).code() ==
+        CODE_ID_EXPIRED);
+  CHECK(content(Follower) == "a");
+}
+
+// Guards against mixed transactions and partial effects.
+TEST_CASE("a transaction sees its own writes and commits in one entry or not "
+          "at all") {
+  Database Db("a");
+  elect(Db, 1);
+  Begin B;
+  B.set_write(true);
+  B.set_term(1);
+  Transaction One;
+  Transaction Two;
+  Db.begin(B, One);
+  Db.begin(B, Two);
+  Execute E;
+  E.set_statement(append("k", "1"));
+  v1::Value V;
+  Db.run(One, E);
+  V.ParseFromString(Db.run(One, E).result());
+  CHECK(V.list_size() == 2);
+  E.set_statement(append("k", "2"));
+  V.ParseFromString(Db.run(Two, E).result());
+  CHECK(V.list_size() == 1);
+  CHECK(content(Db).empty());
+  Commit C;
+  C.set_request_id("one");
+  C.set_issued_at_ms(1000);
+  REQUIRE(Db.commit(One, C, 1000).code() == CODE_OK);
+  CHECK(content(Db) == "11");
+  CHECK(Db.log().size() == 2);
+  CHECK(Db.commit(Two, {}, 1000).code() == CODE_ERROR);
+  CHECK(Db.commit(One, C, 1000).recorded());
+  CHECK(content(Db) == "11");
+}
+
+// Guards against a restarted server that forgets a promise or an entry.
+TEST_CASE("the journal restores log, terms and records") {
+  std::vector<v1::JournalRecord> Journal;
+  Database Db("a", [&](const auto &R) { Journal.push_back(R); });
+  elect(Db, 1);
+  write(Db, 1, "a", "id");
+  Database New("n");
+  elect(New, 2);
+  Db.follow(2, "n");
+  REQUIRE(replicate(Db, New));
+  elect(Db, 5);
+  write(Db, 5, "b", "id");
+  Database Restored("a");
+  for (const auto &R : Journal)
+    Restored.restore(R);
+  CHECK(Restored.status().SerializeAsString() ==
+        Db.status().SerializeAsString());
+  CHECK(content(Restored) == "b");
+  CHECK(write(Restored, 5, "b", "id").recorded());
+}
