--- a/packages/proxy/src/operatortimeline.cpp
+++ b/packages/proxy/src/operatortimeline.cpp
@@ -86,7 +86,8 @@
 
 /// Proxies that are remembered as dead can't be asked.
 void addDead(const OperatorContext &C, operators::v1::TimelineAnswer &Out) {
-  for (const auto &M : currentStatus(C).members())
+  operators::v1::StatusAnswer Status = currentStatus(C);
+  for (const auto &M : Status.members())
     if (M.state() == name(MemberState::Dead))
       Out.add_unreachable(M.id());
 }
