Add benchmarks against real processes

Cause: the stated targets need measurements with the real programs. Before: none. Conclusion: run them once the fleet serves.

--- /dev/null
+++ b/bench/driver.h
@@ -0,0 +1,92 @@
+/// \file
+/// Offers requests to proxies at fixed rates, without waiting for answers, and
+/// summarises the answers.
+
+#ifndef EELGRASSLOOM_BENCH_DRIVER_H
+#define EELGRASSLOOM_BENCH_DRIVER_H
+
+#include "caller.grpc.pb.h"
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace eelgrassloom::bench {
+
+using BenchClock = std::chrono::steady_clock;
+
+/// Makes the request for one arrival.
+using RequestFactory =
+    std::function<caller::v1::RunRequest(std::mt19937_64 &Random)>;
+
+/// A stream of arrivals with exponential gaps.
+struct Load {
+  std::string Name;
+  double PerSecond = 0;
+  std::chrono::milliseconds Deadline{1000};
+  RequestFactory Make;
+};
+
+/// One finished request.
+struct Sample {
+  BenchClock::time_point Start;
+  BenchClock::time_point End;
+  caller::v1::Outcome Outcome = caller::v1::OUTCOME_UNSPECIFIED;
+  caller::v1::Reason Reason = caller::v1::REASON_NONE;
+  types::v1::UpstreamRole Role = types::v1::UPSTREAM_ROLE_UNSPECIFIED;
+};
+
+struct LoadResult {
+  std::string Name;
+  std::vector<Sample> Samples;
+
+  std::size_t count(caller::v1::Outcome O) const;
+  /// Answered OK within the deadline, per second of the run.
+  double goodput(std::chrono::milliseconds Deadline,
+                 std::chrono::duration<double> Run) const;
+  /// Latency quantile of OK answers in milliseconds; 0 without answers.
+  double quantileMillis(double Q) const;
+};
+
+/// Connections to the proxies, shared by all loads of a run.
+class Driver {
+public:
+  static std::unique_ptr<Driver> create(std::vector<std::string> Proxies,
+                                        std::uint64_t Seed);
+  ~Driver();
+
+  /// Offers all loads for \p Run and waits for the last answers.
+  std::vector<LoadResult> run(const std::vector<Load> &Loads,
+                              std::chrono::milliseconds Run);
+
+private:
+  struct Call;
+  Driver() = default;
+  void start(const Load &L, LoadResult &Into);
+
+  std::vector<std::unique_ptr<caller::v1::Caller::Stub>> Stubs;
+  std::mt19937_64 Random;
+  std::mutex Mutex;
+  std::condition_variable Idle;
+  std::size_t Pending = 0;
+  std::size_t Next = 0;
+};
+
+/// Quantile of unsorted values; 0 if there are none.
+double quantile(std::vector<double> Values, double Q);
+
+/// CPU seconds used by a process so far.
+double cpuSeconds(int Pid);
+
+/// Resident memory of a process in KB.
+long residentKb(int Pid);
+
+} // namespace eelgrassloom::bench
+
+#endif // EELGRASSLOOM_BENCH_DRIVER_H
