--- a/packages/proxy/src/controlpeers.cpp
+++ b/packages/proxy/src/controlpeers.cpp
@@ -152,6 +152,16 @@
   Respond(std::move(Answer));
 }
 
+/// A proxy takes part in ownership once it knows the fleet and the
+/// configuration.
+void becomeReady(ControlState &S) {
+  if (S.Members.Self.State != MemberState::Joining || !S.Members.Joined ||
+      S.Config.Version == 0)
+    return;
+  applyMembership(S, announceReady(S.Members, S.Now));
+  S.ViewDirty = true;
+}
+
 MemberUpdate seedOf(const PeerAddress &P) {
   MemberUpdate U;
   U.Id = P.Id;
@@ -197,6 +207,7 @@
 
 void tickPeers(ControlState &S) {
   applyMembership(S, tick(S.Members, S.Now, S.Random));
+  becomeReady(S);
   applySpread(S, tick(S.Spread, livePeers(S.Members), S.Now, S.Random));
   std::erase_if(S.Responders, [&](const auto &Entry) {
     return S.Now - Entry.second.first > ResponderLimit;
