Data path: kernel timeouts, status pulls before stale reads, tests

Timeouts of single exchanges now come from kernel/health.h. A read within a staleness bound asks the owners of replicas when it knows none, or when only the primary qualifies, at most once per probe interval and database.

--- a/packages/proxy/src/entry.cpp
+++ b/packages/proxy/src/entry.cpp
@@ -133,10 +133,13 @@
   }
   bool Stale =
       !C->write() && !C->begin() && C->StalenessBound > Duration::zero();
-  bool NeedsStatus = Stale || !S->Groups.contains(D->Name);
+  auto Group = S->Groups.find(D->Name);
+  bool Known = Group != S->Groups.end();
+  bool NeedsStatus = Stale || !Known;
   Instant Since =
       sinceEpoch(Now) > KnowledgeAge ? Now - KnowledgeAge : Instant{};
-  if (!C->Pulled && NeedsStatus && !P->Seen.knows(*D, Since)) {
+  UpstreamId Primary = Known ? Group->second.Primary : UpstreamId();
+  if (!C->Pulled && NeedsStatus && !P->Seen.knowsOther(*D, Primary, Since)) {
     C->Pulled = true;
     pull(*S, *D, [Self = shared_from_this(), C] { Self->route(C); });
     return;
@@ -173,9 +176,13 @@
   }
   auto View = std::find_if(Views.begin(), Views.end(),
                            [&](const auto &V) { return V.Id == R.Target; });
-  if (!Request.Write && Request.StalenessBound > Duration::zero() &&
-      View != Views.end() && View->UpstreamRole == Role::Primary)
-    pull(S, D, nullptr);
+  bool Offload = !Request.Write && Request.StalenessBound > Duration::zero() &&
+                 View != Views.end() && View->UpstreamRole == Role::Primary;
+  if (Offload && !std::exchange(C->Pulled, true) && mayPull(D)) {
+    // Reports of replicas that other proxies own may be too old to use them.
+    pull(S, D, [Self = shared_from_this(), C] { Self->route(C); });
+    return std::nullopt;
+  }
   if (refuseEarly(C, R, S, Views))
     return std::nullopt;
   return R;
@@ -313,7 +320,10 @@
     if (A.reason() == REASON_ID_EXPIRED)
       finish(C, A);
     else
-      retry(C, AttemptEnd::NoAnswer, A, true, Duration::zero());
+      // A term that was not confirmed needs a newer group record.
+      retry(C, AttemptEnd::NoAnswer, A, true,
+            A.reason() == REASON_NOT_CONFIRMED ? ViewChangeDelay
+                                               : Duration::zero());
     return;
   default:
     finish(C, A);
@@ -440,6 +450,13 @@
       });
 }
 
+bool Entry::mayPull(const Database &D) {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  auto It = PulledAt.find(D.Name);
+  return It == PulledAt.end() ||
+         P->now() - It->second >= P->Context.Options.ProbeInterval;
+}
+
 void Entry::pull(const Snapshot &S, const Database &D,
                  std::function<void()> Done) {
   std::set<std::string> Addresses;
@@ -448,15 +465,7 @@
         It != S.Owners.end() && !It->second.Address.empty() &&
         It->second.Owner != P->Context.Options.Id)
       Addresses.insert(It->second.Address);
-  Instant Now = P->now();
-  bool Recent = false;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    auto [It, New] = PulledAt.try_emplace(D.Name, Now);
-    Recent = !New && Now - It->second < P->Context.Options.ProbeInterval;
-    if (!Recent)
-      It->second = Now;
-  }
+  bool Recent = !mayPull(D);
   // Continues once: after the last report or after the wait.
   struct Pull {
     std::atomic<std::size_t> Left = 0;
@@ -477,6 +486,10 @@
     P->timers().after(PullWait, [State] { State->proceed(); });
   if (Recent)
     return;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    PulledAt[D.Name] = P->now();
+  }
   State->Left = Addresses.size();
   peer::v1::PeerMessage M;
   M.mutable_status_pull()->set_database(D.Name);
--- a/packages/proxy/src/entry.h
+++ b/packages/proxy/src/entry.h
@@ -72,6 +72,10 @@
 
   void send(const std::string &Address, peer::v1::Forward F, Duration Timeout,
             PeerDone Done);
+  /// True unless the owners were asked within the probe interval.
+  bool mayPull(const Database &D);
+  /// Asks the other owners for their upstreams of a database; \p Done runs
+  /// once, after their reports or a short wait.
   void pull(const Snapshot &S, const Database &D, std::function<void()> Done);
   void note(const std::string &Database, const peer::v1::ForwardAnswer &F);
   void noteReport(const std::string &Database,
--- a/packages/proxy/src/observations.cpp
+++ b/packages/proxy/src/observations.cpp
@@ -115,13 +115,14 @@
   return Views;
 }
 
-bool Observations::knows(const Database &D, Instant Since) const {
+bool Observations::knowsOther(const Database &D, const UpstreamId &Except,
+                              Instant Since) const {
   std::lock_guard<std::mutex> Lock(Mutex);
-  return std::any_of(D.Upstreams.begin(), D.Upstreams.end(),
-                     [&](const Upstream &U) {
-                       auto It = Table.find(U.Id);
-                       return It != Table.end() && It->second.At >= Since;
-                     });
+  return std::any_of(
+      D.Upstreams.begin(), D.Upstreams.end(), [&](const Upstream &U) {
+        auto It = Table.find(U.Id);
+        return U.Id != Except && It != Table.end() && It->second.At >= Since;
+      });
 }
 
 } // namespace eelgrassloom::detail
--- a/packages/proxy/src/observations.h
+++ b/packages/proxy/src/observations.h
@@ -50,8 +50,10 @@
   std::vector<UpstreamView> views(const Snapshot &S, const Database &D,
                                   Instant Now) const;
 
-  /// True if an upstream of the database was reported since \p Since.
-  bool knows(const Database &D, Instant Since) const;
+  /// True if an upstream of the database other than \p Except was reported
+  /// since \p Since.
+  bool knowsOther(const Database &D, const UpstreamId &Except,
+                  Instant Since) const;
 
 private:
   /// Where the primary of a database was, to estimate the lag of replicas.
--- a/packages/proxy/src/runner.cpp
+++ b/packages/proxy/src/runner.cpp
@@ -4,7 +4,11 @@
 namespace eelgrassloom::detail {
 namespace {
 
-constexpr Duration VerifyTimeout = std::chrono::milliseconds(100);
+/// Time allowed for the status of an idle connection after a probe failed.
+constexpr Duration VerifyTimeout = std::chrono::milliseconds(60);
+/// A write that is given up becomes unknown, so it gets more time than a read
+/// that can be repeated.
+constexpr Duration MinWriteTimeout = std::chrono::milliseconds(300);
 constexpr Duration MinOpenBackoff = std::chrono::milliseconds(25);
 constexpr Duration MaxOpenBackoff = std::chrono::milliseconds(500);
 /// Connections of the owner's third that carry probes instead of statements.
@@ -38,6 +42,8 @@
       Limit(makeLimit(Target.Slots)) {
   Admission.Options.Shares = Shares;
   Admission.Limit = limit(Limit);
+  Health = makeHealth(this->P->Context.Options.FailoverTolerance,
+                      this->P->Context.Options.ProbeInterval);
 }
 
 unsigned Runner::poolLimit() const {
@@ -107,18 +113,25 @@
   openMore(Out);
 }
 
+Duration Runner::exchangeTimeout(const Work &W, Instant Now) const {
+  Duration Remaining = W.Deadline - Now;
+  bool Repeatable = W.Call.Operation == UpstreamOperation::Execute &&
+                    !W.Call.Write && !W.Pinned;
+  Duration Measured =
+      attemptTimeout(Health, W.WorkPriority, Remaining, Repeatable);
+  if (!Repeatable)
+    Measured = std::max(Measured, MinWriteTimeout);
+  return std::min(Measured + W.Call.Wait, Remaining);
+}
+
 void Runner::dispatch(TicketId Id, ConnectionRef C, Deferred &Out) {
   Job &J = Jobs.at(Id);
   P->timers().cancel(std::exchange(J.Expiry, 0));
   J.SentAt = P->now();
   J.Connection = C;
-  bool Repeatable = J.What.Call.Operation == UpstreamOperation::Execute &&
-                    !J.What.Call.Write && !J.What.Pinned;
-  J.Timeout = (Repeatable ? readTimeout(Latency) : writeTimeout(Latency)) +
-              J.What.Call.Wait;
-  J.Timeout = std::min(J.Timeout, J.What.Deadline - J.SentAt);
+  Duration Timeout = exchangeTimeout(J.What, J.SentAt);
   Out.add([Self = shared_from_this(), Id, C = std::move(C), Call = J.What.Call,
-           Timeout = J.Timeout] {
+           Timeout] {
     Self->P->adapter().Call(
         *C->Link, Call, Timeout,
         [Self, Id](const UpstreamReply &R) { Self->finished(Id, R); });
@@ -135,13 +148,11 @@
     Duration Service = Now - J.SentAt;
     std::size_t Level = index(J.What.WorkPriority);
     if (broken(R)) {
-      if (R.Code == UpstreamCode::TimedOut)
-        recordTimeout(Latency, J.Timeout);
       // The time spent waiting for an unresponsive connection says nothing
       // about the service time.
       Service = Admission.ServiceTime[Level];
     } else if (J.What.Call.Wait == Duration::zero()) {
-      recordAnswer(Latency, Service);
+      recordAnswer(Health, J.What.WorkPriority, Service);
       recordLatency(Limit, J.What.WorkPriority, Service, Now);
       Admission.Limit = limit(Limit);
     }
@@ -158,7 +169,9 @@
               {Self->Database, Self->Target.Id, "", "", ""},
               "a statement was not answered in time");
         });
-        verifyIdleLocked(Out);
+        auto Actions = connectionTimedOut(Health, J.What.WorkPriority);
+        if (Actions.ProbeIdle)
+          verifyIdleLocked(Actions.ProbeTimeout, Out);
       }
     } else if (J.What.Keep && R.Code == UpstreamCode::Ok) {
       Result.Connection = J.Connection;
@@ -312,16 +325,16 @@
   Deferred Out;
   {
     std::lock_guard<std::mutex> Lock(Mutex);
-    verifyIdleLocked(Out);
+    verifyIdleLocked(VerifyTimeout, Out);
   }
   Out.run();
 }
 
-void Runner::verifyIdleLocked(Deferred &Out) {
+void Runner::verifyIdleLocked(Duration Timeout, Deferred &Out) {
   for (ConnectionRef &C : std::exchange(Idle, {}))
-    Out.add([Self = shared_from_this(), C] {
+    Out.add([Self = shared_from_this(), C, Timeout] {
       Self->P->adapter().Call(
-          *C->Link, UpstreamCall{}, VerifyTimeout,
+          *C->Link, UpstreamCall{}, Timeout,
           [Self, C](const UpstreamReply &R) { Self->verified(C, R); });
     });
 }
--- a/packages/proxy/src/runner.h
+++ b/packages/proxy/src/runner.h
@@ -4,8 +4,8 @@
 #ifndef EELGRASSLOOM_PROXY_RUNNER_H
 #define EELGRASSLOOM_PROXY_RUNNER_H
 
+#include "kernel/health.h"
 #include "kernel/limit.h"
-#include "latency.h"
 #include "parts.h"
 #include <deque>
 #include <unordered_map>
@@ -87,7 +87,6 @@
     Work What;
     Timer::Id Expiry = 0;
     Instant SentAt;
-    Duration Timeout{0};
     ConnectionRef Connection;
   };
 
@@ -105,7 +104,8 @@
   void drop(ConnectionRef C, Deferred &Out);
   void openMore(Deferred &Out);
   void opened(ConnectionRef C, const UpstreamReply &R);
-  void verifyIdleLocked(Deferred &Out);
+  Duration exchangeTimeout(const Work &W, Instant Now) const;
+  void verifyIdleLocked(Duration Timeout, Deferred &Out);
   void verified(ConnectionRef C, const UpstreamReply &R);
   void failWaiting(Deferred &Out);
 
@@ -118,7 +118,7 @@
   unsigned ConnectionCap;
   AdmissionState Admission;
   LimitState Limit;
-  LatencyEstimate Latency;
+  HealthState Health;
   TicketId NextTicket = 1;
   std::unordered_map<TicketId, Job> Jobs;
   /// Jobs that hold a slot and wait for a connection.
--- /dev/null
+++ b/packages/proxy/test/fakes-test.cpp
@@ -0,0 +1,378 @@
+#include "fakes.h"
+#include <doctest/doctest.h>
+
+namespace eelgrassloom::testing {
+
+FakeDatabases *FakeDatabases::Current = nullptr;
+
+namespace {
+
+bool holds(const FakeUpstream &S, Position P) {
+  return contains(S.Status.Line, S.Status.Applied, P);
+}
+
+UpstreamReply append(FakeUpstream &S, const UpstreamCall &C,
+                     const std::string &Statement) {
+  UpstreamReply R;
+  R.Code = UpstreamCode::Ok;
+  if (auto It = S.Records.find(C.RequestId);
+      !C.RequestId.empty() && It != S.Records.end()) {
+    R.Recorded = true;
+    R.At = It->second.At;
+    R.Result = "did " + It->second.Statement;
+    return R;
+  }
+  FakeEntry E{{S.Status.Line.back().Term, S.Status.Applied.Index + 1},
+              Statement};
+  S.Status.Applied = E.At;
+  S.Log.push_back(E);
+  if (!C.RequestId.empty())
+    S.Records[C.RequestId] = E;
+  R.At = E.At;
+  R.Result = "did " + Statement;
+  return R;
+}
+
+UpstreamReply perform(FakeConnection &Link, const UpstreamCall &C) {
+  FakeUpstream &S = *Link.Server;
+  UpstreamReply R;
+  R.Code = UpstreamCode::Ok;
+  R.At = S.Status.Applied;
+  bool Primary = S.Status.UpstreamRole == Role::Primary &&
+                 S.Status.RaisedTerm == S.Status.Line.back().Term;
+  switch (C.Operation) {
+  case UpstreamOperation::Execute:
+    if (Link.InTransaction) {
+      Link.Statements.push_back(C.Statement);
+      R.Result = "did " + C.Statement;
+    } else if (C.Write && C.Term < S.Status.RaisedTerm)
+      R.Code = UpstreamCode::StaleTerm;
+    else if (C.Write && (!Primary || C.Term != S.Status.RaisedTerm))
+      R.Code = UpstreamCode::NotPrimary;
+    else if (C.Statement == "fail")
+      R.Code = UpstreamCode::Error;
+    else if (C.Write)
+      R = append(S, C, C.Statement);
+    else if (!holds(S, C.MinPosition))
+      R.Code = UpstreamCode::Behind;
+    else
+      R.Result = "saw " + std::to_string(S.Log.size());
+    break;
+  case UpstreamOperation::Begin:
+    if (Primary && C.Term == S.Status.RaisedTerm)
+      Link.InTransaction = true;
+    else
+      R.Code = UpstreamCode::NotPrimary;
+    break;
+  case UpstreamOperation::Commit: {
+    std::string All;
+    for (const std::string &Statement : Link.Statements)
+      All += Statement + ";";
+    R = append(S, C, All);
+    Link.InTransaction = false;
+    Link.Statements.clear();
+    break;
+  }
+  case UpstreamOperation::Rollback:
+    Link.InTransaction = false;
+    Link.Statements.clear();
+    break;
+  case UpstreamOperation::ConfirmTerm:
+    if (S.Status.RaisedTerm > C.Term)
+      R.Code = UpstreamCode::StaleTerm;
+    else if (S.Status.RaisedTerm < C.Term || !holds(S, C.MinPosition))
+      R.Code = UpstreamCode::Behind;
+    break;
+  default:
+    break;
+  }
+  R.Status = S.Status;
+  return R;
+}
+
+UpstreamReply failure(UpstreamCode Code) {
+  UpstreamReply R;
+  R.Code = Code;
+  return R;
+}
+
+std::shared_ptr<UpstreamConnection> connect(const UpstreamTarget &Target,
+                                            Duration Timeout,
+                                            UpstreamReplyHandler Opened) {
+  FakeDatabases &D = *FakeDatabases::Current;
+  FakeUpstream &S = D.Servers.at(Target.Address);
+  auto Link = std::make_shared<FakeConnection>();
+  Link->Server = &S;
+  if (!S.AcceptsConnections) {
+    D.Timers->after(Timeout,
+                    [Opened] { Opened(failure(UpstreamCode::TimedOut)); });
+    return Link;
+  }
+  if (S.open() >= S.ConnectionLimit) {
+    Link->Closed = true;
+    D.Timers->after(milliseconds(1), [Opened] {
+      Opened(failure(UpstreamCode::TooManyConnections));
+    });
+    return Link;
+  }
+  S.Connections.push_back(Link);
+  ++S.ConnectionsOpened;
+  D.Timers->after(milliseconds(10), [Opened, &S] {
+    UpstreamReply R;
+    R.Code = UpstreamCode::Ok;
+    R.Status = S.Status;
+    Opened(R);
+  });
+  return Link;
+}
+
+void call(UpstreamConnection &Connection, const UpstreamCall &Request,
+          Duration Timeout, UpstreamReplyHandler Done) {
+  FakeDatabases &D = *FakeDatabases::Current;
+  auto &Link = static_cast<FakeConnection &>(Connection);
+  FakeUpstream &S = *Link.Server;
+  CHECK(Link.Exchanges == 0);
+  ++Link.Exchanges;
+  bool Statement = Request.Operation != UpstreamOperation::Status &&
+                   Request.Operation != UpstreamOperation::ConfirmTerm;
+  Duration Service = Statement ? S.Service : milliseconds(1);
+  S.Calls.push_back(Request);
+  if (Statement)
+    S.MostRunning = std::max(S.MostRunning, ++S.Running);
+  auto Held =
+      std::find_if(S.Connections.begin(), S.Connections.end(), [&](auto &Weak) {
+        return Weak.lock().get() == &Link;
+      })->lock();
+  bool Answers = !Link.Unresponsive && !S.Silent && Service <= Timeout;
+  // A ConfirmTerm that waits is answered once the position is held.
+  auto Answer = std::make_shared<std::function<void(Duration)>>();
+  *Answer = [&S, Held, Request, Done, Statement, Answer, &D](Duration Left) {
+    UpstreamReply R = perform(*Held, Request);
+    if (R.Code == UpstreamCode::Behind && Left > Duration::zero()) {
+      D.Timers->after(milliseconds(1),
+                      [Answer, Left] { (*Answer)(Left - milliseconds(1)); });
+      return;
+    }
+    --Held->Exchanges;
+    if (Statement)
+      --S.Running;
+    Done(Held->Closed ? failure(UpstreamCode::ConnectionLost) : R);
+  };
+  if (Answers) {
+    D.Timers->after(Service,
+                    [Answer, Wait = Request.Wait] { (*Answer)(Wait); });
+    return;
+  }
+  if (S.Silent)
+    D.Timers->after(Service, [Held, Request] { perform(*Held, Request); });
+  D.Timers->after(Timeout, [&S, Statement, Done] {
+    if (Statement)
+      --S.Running;
+    Done(failure(UpstreamCode::TimedOut));
+  });
+}
+
+void close(UpstreamConnection &Connection) {
+  static_cast<FakeConnection &>(Connection).Closed = true;
+}
+
+} // namespace
+
+const UpstreamAdapter &fakeAdapter() {
+  static const UpstreamAdapter Adapter{connect, call, close};
+  return Adapter;
+}
+
+void FakeDatabases::replicate(const std::string &From, const std::string &To) {
+  FakeUpstream &Source = Servers.at(From + ":1");
+  FakeUpstream &Copy = Servers.at(To + ":1");
+  Copy.Log = Source.Log;
+  Copy.Records = Source.Records;
+  Copy.Status.Applied = Source.Status.Applied;
+  Copy.Status.Line = Source.Status.Line;
+}
+
+void FakeDatabases::promote(const std::string &Id, std::uint64_t Term) {
+  FakeUpstream &S = Servers.at(Id + ":1");
+  S.Status.UpstreamRole = Role::Primary;
+  S.Status.RaisedTerm = Term;
+  S.Status.Line.push_back({Term, S.Status.Applied.Index});
+  S.Status.Applied = {Term, S.Status.Applied.Index + 1};
+}
+
+void FakePeers::request(const std::string &Address,
+                        peer::v1::PeerMessage Message, Duration Timeout,
+                        PeerAnswerHandler Done) {
+  ++Requests;
+  PeerCode Fault = PeerCode::Ok;
+  if (auto &Queue = Faults[Address]; !Queue.empty()) {
+    Fault = Queue.front();
+    Queue.erase(Queue.begin());
+  }
+  if (Fault == PeerCode::NotSent) {
+    Timers->after(milliseconds(1), [Done] { Done(PeerCode::NotSent, {}); });
+    return;
+  }
+  if (Fault == PeerCode::TimedOut)
+    Timers->after(Timeout, [Done] { Done(PeerCode::TimedOut, {}); });
+  Timers->after(milliseconds(1), [this, Address, Message, Done, Fault] {
+    Receivers.at(Address)(
+        Message, [this, Done, Fault](peer::v1::PeerMessage Answer) {
+          if (Fault == PeerCode::Ok)
+            Timers->after(milliseconds(1),
+                          [Done, Answer] { Done(PeerCode::Ok, Answer); });
+        });
+  });
+}
+
+World::World(std::map<UpstreamId, ProxyId> Owners) {
+  Peers->Timers = Databases.Timers;
+  State->Config.Version = 1;
+  State->Config.Classes = {
+      {"urgent", Priority::Urgent, Duration::zero(), Durability::Replicated},
+      {"normal", Priority::Normal, Duration::zero(), Durability::TermCheck},
+      {"background", Priority::Background, std::chrono::seconds(1),
+       Durability::TermCheck}};
+  Database D{"db", {}};
+  for (const std::string Id : {"a", "b", "c"}) {
+    D.Upstreams.push_back({Id, Id + ":1", "d" + Id, 5, 30, false});
+    FakeUpstream &S = Databases.Servers[Id + ":1"];
+    S.Status = {Id, Role::Replica, 1, {1, 1}, {{1, 0}}, false};
+    S.Log.push_back({{1, 1}, "start"});
+  }
+  server("a").Status.UpstreamRole = Role::Primary;
+  State->Config.Databases = {D};
+  State->Groups["db"] = {1, "a", {{1, 0}}};
+  std::set<ProxyId> Ids;
+  for (const auto &[Upstream, Owner] : Owners)
+    Ids.insert(Owner);
+  for (const ProxyId &Id : Ids) {
+    Proxy &P = Proxies[Id];
+    P.Snapshots = std::make_shared<SnapshotHolder>();
+    P.Events = EventLog::create(Databases.Time, 1000);
+    DataPathContext C;
+    C.Options.Id = Id;
+    C.Options.FailureDomain = "da";
+    C.Options.RoutingPolicy = "causal";
+    C.Options.PriorityPolicy = "shares";
+    C.Options.FailoverTolerance = milliseconds(800);
+    C.Options.ProbeInterval = milliseconds(100);
+    C.Options.DefaultDeadline = milliseconds(2000);
+    C.Options.RequestRetention = std::chrono::hours(24);
+    C.Options.ReplicaWait = milliseconds(20);
+    C.Options.RetryBudgetPercent = 10;
+    C.Time = Databases.Time;
+    C.Timers = Databases.Timers;
+    C.Events = P.Events;
+    C.Meters = Metrics::create("");
+    C.Snapshots = P.Snapshots;
+    C.Peers = Peers;
+    C.Upstreams = &fakeAdapter();
+    C.Observe.ConnectionAttempted = [&P](const UpstreamId &Upstream,
+                                         bool Opened) {
+      if (!Opened)
+        ++P.FailedConnections[Upstream];
+    };
+    P.Path = DataPath::create(std::move(C));
+    Peers->Receivers[Id + ":9"] = [&P](const peer::v1::PeerMessage &M,
+                                       const PeerResponder &Respond) {
+      peer::v1::PeerMessage Answer;
+      if (M.has_forward()) {
+        P.Path->forward(M.forward(), [Respond](peer::v1::ForwardAnswer A) {
+          peer::v1::PeerMessage Out;
+          *Out.mutable_forward_answer() = std::move(A);
+          Respond(std::move(Out));
+        });
+        return;
+      }
+      *Answer.mutable_status_report() =
+          P.Path->report(M.status_pull().database());
+      Respond(std::move(Answer));
+    };
+    State->Peers[Id] = Id + ":9";
+  }
+  for (const auto &[Upstream, Owner] : Owners)
+    State->Owners[Upstream] = {Owner, ""};
+  publish();
+  advance(milliseconds(250));
+}
+
+World::~World() {
+  for (auto &[Id, P] : Proxies)
+    P.Path.reset();
+}
+
+void World::publish() {
+  for (auto &[Id, P] : Proxies) {
+    auto S = std::make_shared<Snapshot>(*State);
+    for (auto &[Upstream, Owner] : S->Owners)
+      Owner.Address = Owner.Owner == Id ? "" : Owner.Owner + ":9";
+    P.Snapshots->store(S);
+    P.Path->snapshotChanged();
+  }
+  Databases.Timers->runDue();
+}
+
+void World::advance(Duration D) {
+  for (; D > Duration::zero(); D -= milliseconds(1)) {
+    Databases.Time->advance(milliseconds(1));
+    Databases.Timers->runDue();
+  }
+}
+
+std::shared_ptr<std::optional<caller::v1::RunAnswer>>
+World::start(const ProxyId &Proxy, const caller::v1::RunRequest &Request) {
+  auto Slot = std::make_shared<std::optional<caller::v1::RunAnswer>>();
+  Proxies.at(Proxy).Path->run(Request, [Slot](caller::v1::RunAnswer A) {
+    CHECK_MESSAGE(!Slot->has_value(), "the handler was called twice");
+    *Slot = std::move(A);
+  });
+  return Slot;
+}
+
+caller::v1::RunAnswer World::run(const ProxyId &Proxy,
+                                 const caller::v1::RunRequest &Request) {
+  auto Slot = start(Proxy, Request);
+  for (int I = 0; I < 5000 && !Slot->has_value(); ++I)
+    advance(milliseconds(1));
+  REQUIRE(Slot->has_value());
+  return **Slot;
+}
+
+caller::v1::RunRequest World::read(const std::string &Statement,
+                                   const std::string &Class) const {
+  caller::v1::RunRequest R;
+  R.set_database("db");
+  R.set_workload_class(Class);
+  R.set_access(caller::v1::ACCESS_READ);
+  R.set_statement(Statement);
+  return R;
+}
+
+caller::v1::RunRequest World::write(const std::string &Statement,
+                                    const std::string &Class) const {
+  caller::v1::RunRequest R = read(Statement, Class);
+  R.set_access(caller::v1::ACCESS_WRITE);
+  R.set_request_id("id-" + Statement);
+  R.set_issued_at_ms(Databases.Time->wallMicros() / 1000);
+  R.set_non_idempotent(true);
+  return R;
+}
+
+caller::v1::RunRequest World::step(caller::v1::Step Step,
+                                   const std::string &Transaction) const {
+  caller::v1::RunRequest R = read("");
+  R.set_access(caller::v1::ACCESS_WRITE);
+  R.set_step(Step);
+  R.set_transaction(Transaction);
+  return R;
+}
+
+bool World::hasEvent(const ProxyId &Proxy, const EventKind &Kind) const {
+  for (const EventRecord &R : Proxies.at(Proxy).Events->select({}))
+    if (R.Kind.Number == Kind.Number)
+      return true;
+  return false;
+}
+
+} // namespace eelgrassloom::testing
--- /dev/null
+++ b/packages/proxy/test/fakes.h
@@ -0,0 +1,155 @@
+/// \file
+/// A simulated database group, peer transport and process environment on a
+/// paused clock, all in one thread.
+
+#ifndef EELGRASSLOOM_PROXY_TEST_FAKES_H
+#define EELGRASSLOOM_PROXY_TEST_FAKES_H
+
+#include "proxy/datapath.h"
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace eelgrassloom::testing {
+
+using std::chrono::milliseconds;
+
+struct FakeUpstream;
+
+struct FakeConnection : UpstreamConnection {
+  FakeUpstream *Server = nullptr;
+  bool Unresponsive = false;
+  bool Closed = false;
+  bool InTransaction = false;
+  unsigned Exchanges = 0;
+  std::vector<std::string> Statements;
+};
+
+struct FakeEntry {
+  Position At;
+  std::string Statement;
+};
+
+/// One server; entries reach replicas by replicate().
+struct FakeUpstream {
+  UpstreamStatus Status;
+  std::vector<FakeEntry> Log;
+  std::map<std::string, FakeEntry> Records;
+  Duration Service = milliseconds(2);
+  unsigned ConnectionLimit = 30;
+  bool AcceptsConnections = true;
+  /// Runs statements, but answers nothing.
+  bool Silent = false;
+  std::vector<std::weak_ptr<FakeConnection>> Connections;
+  std::vector<UpstreamCall> Calls;
+  unsigned Running = 0;
+  unsigned MostRunning = 0;
+  unsigned ConnectionsOpened = 0;
+
+  unsigned open() const {
+    return static_cast<unsigned>(std::count_if(
+        Connections.begin(), Connections.end(), [](const auto &Weak) {
+          auto C = Weak.lock();
+          return C && !C->Closed;
+        }));
+  }
+  unsigned executed(const std::string &Statement) const {
+    return static_cast<unsigned>(
+        std::count_if(Calls.begin(), Calls.end(), [&](const auto &C) {
+          return C.Operation == UpstreamOperation::Execute &&
+                 C.Statement == Statement;
+        }));
+  }
+  unsigned logged(const std::string &Statement) const {
+    return static_cast<unsigned>(
+        std::count_if(Log.begin(), Log.end(),
+                      [&](const auto &E) { return E.Statement == Statement; }));
+  }
+  void hangConnections(std::size_t Count) {
+    for (const auto &Weak : Connections)
+      if (auto C = Weak.lock(); C && !C->Closed && Count > 0) {
+        C->Unresponsive = true;
+        --Count;
+      }
+  }
+};
+
+/// The servers that the fake adapter reaches, by address.
+struct FakeDatabases {
+  std::shared_ptr<Clock> Time = Clock::paused(Instant(std::chrono::hours(1)));
+  std::shared_ptr<Timer> Timers = Timer::manual(Time);
+  std::map<std::string, FakeUpstream> Servers;
+  static FakeDatabases *Current;
+
+  FakeDatabases() { Current = this; }
+  ~FakeDatabases() { Current = nullptr; }
+  FakeDatabases(const FakeDatabases &) = delete;
+  FakeDatabases &operator=(const FakeDatabases &) = delete;
+
+  /// Copies the log of a server to another one.
+  void replicate(const std::string &From, const std::string &To);
+  /// Makes \p Id the primary of a term with its own log as the start.
+  void promote(const std::string &Id, std::uint64_t Term);
+};
+
+const UpstreamAdapter &fakeAdapter();
+
+/// Delivers messages between the data paths of one process at once.
+struct FakePeers : PeerTransport {
+  std::map<std::string, PeerReceiver> Receivers;
+  std::shared_ptr<Timer> Timers;
+  /// Fault of the next requests, by address.
+  std::map<std::string, std::vector<PeerCode>> Faults;
+  unsigned Requests = 0;
+
+  void send(const std::string &, peer::v1::PeerMessage) override {}
+  void request(const std::string &Address, peer::v1::PeerMessage Message,
+               Duration Timeout, PeerAnswerHandler Done) override;
+};
+
+/// Three servers a, b and c of the database "db" with a as the primary of
+/// term 1, and any number of proxies.
+struct World {
+  FakeDatabases Databases;
+  std::shared_ptr<FakePeers> Peers = std::make_shared<FakePeers>();
+  std::shared_ptr<Snapshot> State = std::make_shared<Snapshot>();
+  struct Proxy {
+    std::shared_ptr<SnapshotHolder> Snapshots;
+    std::shared_ptr<EventLog> Events;
+    std::shared_ptr<DataPath> Path;
+    std::map<UpstreamId, unsigned> FailedConnections;
+  };
+  std::map<ProxyId, Proxy> Proxies;
+
+  /// \p Owners names the owner of each of a, b and c.
+  explicit World(std::map<UpstreamId, ProxyId> Owners = {
+                     {"a", "p1"}, {"b", "p1"}, {"c", "p1"}});
+  ~World();
+  World(const World &) = delete;
+  World &operator=(const World &) = delete;
+
+  FakeUpstream &server(const std::string &Id) {
+    return Databases.Servers.at(Id + ":1");
+  }
+  /// Publishes State to all proxies.
+  void publish();
+  void advance(Duration D);
+  /// Starts a request; the answer appears once it is given.
+  std::shared_ptr<std::optional<caller::v1::RunAnswer>>
+  start(const ProxyId &Proxy, const caller::v1::RunRequest &Request);
+  /// Runs a request to its answer; fails the test if there is none in time.
+  caller::v1::RunAnswer run(const ProxyId &Proxy,
+                            const caller::v1::RunRequest &Request);
+  caller::v1::RunRequest read(const std::string &Statement,
+                              const std::string &Class = "normal") const;
+  caller::v1::RunRequest write(const std::string &Statement,
+                               const std::string &Class = "normal") const;
+  caller::v1::RunRequest step(caller::v1::Step Step,
+                              const std::string &Transaction = "") const;
+  bool hasEvent(const ProxyId &Proxy, const EventKind &Kind) const;
+};
+
+} // namespace eelgrassloom::testing
+
+#endif // EELGRASSLOOM_PROXY_TEST_FAKES_H
