--- a/bench/driver.cpp
+++ b/bench/driver.cpp
@@ -1,9 +1,9 @@
 #include "driver.h"
-#include <grpcpp/grpcpp.h>
 #include "fleet.h"
 #include <algorithm>
 #include <cmath>
 #include <fstream>
+#include <grpcpp/grpcpp.h>
 #include <thread>
 #include <unistd.h>
 
@@ -63,7 +63,7 @@
 }
 
 void Driver::start(const Load &L, LoadResult &Into) {
-  auto C = std::make_shared<Call>();
+  auto *C = new Call;
   C->Request = L.Make(Random);
   C->Request.set_deadline_ms(static_cast<std::uint32_t>(L.Deadline.count()));
   C->Start = BenchClock::now();
@@ -79,6 +79,8 @@
         Sample One{C->Start, BenchClock::now(),
                    S.ok() ? C->Answer.outcome() : caller::v1::OUTCOME_UNKNOWN,
                    C->Answer.reason(), C->Answer.role()};
+        // Before Pending falls, since the process may exit after that.
+        delete C;
         std::lock_guard<std::mutex> Lock(Mutex);
         Into.Samples.push_back(One);
         if (--Pending == 0)
