--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -34,6 +34,47 @@
 
 } // namespace
 
+config::v1::Configuration
+makeConfiguration(const std::vector<std::string> &FailureDomains,
+                  unsigned Databases, unsigned Slots) {
+  config::v1::Configuration C;
+  C.set_version(1);
+  auto AddClass = [&](const char *Name, types::v1::Priority Priority,
+                      unsigned StalenessMs, config::v1::Durability Durability) {
+    auto *Class = C.add_classes();
+    Class->set_name(Name);
+    Class->set_priority(Priority);
+    Class->set_staleness_bound_ms(StalenessMs);
+    Class->set_durability(Durability);
+  };
+  AddClass("urgent", types::v1::PRIORITY_URGENT, 0,
+           config::v1::DURABILITY_REPLICATED);
+  AddClass("normal", types::v1::PRIORITY_NORMAL, 0,
+           config::v1::DURABILITY_TERM_CHECK);
+  AddClass("background", types::v1::PRIORITY_BACKGROUND, 5000,
+           config::v1::DURABILITY_TERM_CHECK);
+  auto AddShare = [&](types::v1::Priority Priority, unsigned Percent) {
+    auto *Share = C.add_shares();
+    Share->set_priority(Priority);
+    Share->set_percent(Percent);
+  };
+  AddShare(types::v1::PRIORITY_URGENT, 60);
+  AddShare(types::v1::PRIORITY_NORMAL, 25);
+  AddShare(types::v1::PRIORITY_BACKGROUND, 15);
+  for (unsigned D = 0; D < Databases; ++D) {
+    auto *Database = C.add_databases();
+    Database->set_name("db" + std::to_string(D + 1));
+    for (unsigned U = 0; U < 3; ++U) {
+      auto *Up = Database->add_upstreams();
+      Up->set_id(Database->name() + "-" + std::to_string(U + 1));
+      Up->set_failure_domain(FailureDomains[(D + U) % FailureDomains.size()]);
+      Up->set_slots(Slots);
+      Up->set_connection_cap(30);
+    }
+  }
+  return C;
+}
+
 config::v1::Configuration exampleConfiguration(const std::string &Name,
                                                int Databases) {
   std::string Path =
@@ -227,6 +268,7 @@
            "--slots=" + std::to_string(Up.slots()),
            "--connection-limit=" + std::to_string(Up.connection_cap()),
            "--service-us=" + std::to_string(T.ServiceUs),
+           "--journal=" + Directory + "/" + Id + ".journal",
            "--address-map=" + addressMap(Up.failure_domain())});
 }
 
@@ -306,10 +348,7 @@
       if (wait(P.Id, 0ms) >= 0)
         throw std::runtime_error(
             P.Id + " ended: " + readFile(Directory + "/" + P.Id + ".log"));
-      using operators::v1::Operator;
-      operators::v1::StatusRequest Request;
-      if (call<Operator>(P.Id, &Operator::Stub::Status, Request)
-              .configuration_version() == 0)
+      if (proxyStatus(P.Id).configuration_version() == 0)
         return false;
     }
     return true;
@@ -348,6 +387,12 @@
   return call<Control>("platform", &Control::Stub::SetFaults, Faults);
 }
 
+operators::v1::StatusAnswer Fleet::proxyStatus(const std::string &Id) {
+  using operators::v1::Operator;
+  return call<Operator>(Id, &Operator::Stub::Status,
+                        operators::v1::StatusRequest());
+}
+
 standin::v1::PlatformCounters Fleet::countPlatformCalls() {
   using Control = standin::v1::PlatformControl;
   return call<Control>("platform", &Control::Stub::Count,
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -45,6 +45,12 @@
   bool Configured = true;
 };
 
+/// Databases named db1, db2, ... with one upstream in each of three failure
+/// domains, and the classes urgent, normal and background.
+config::v1::Configuration
+makeConfiguration(const std::vector<std::string> &FailureDomains,
+                  unsigned Databases, unsigned Slots);
+
 /// Reads the first databases of examples/NAME.json.
 config::v1::Configuration exampleConfiguration(const std::string &Name,
                                                int Databases = 3);
@@ -76,12 +82,13 @@
 
   /// Processes are named platform, network, and by proxy or upstream id.
   void startProxy(const std::string &Id);
+  /// Restarts a killed upstream with its journal.
+  void startUpstream(const std::string &Id);
   void signal(const std::string &Name, int Signal);
   /// Waits for the end of a process; returns its exit status, or 128 plus the
   /// signal that ended it, or -1 after the timeout.
   int wait(const std::string &Name, std::chrono::milliseconds Timeout);
-  /// Kills a process and waits for its end. The log of a killed upstream is
-  /// gone, so it can't return; SIGSTOP and SIGCONT simulate one that does.
+  /// Kills a process and waits for its end.
   void kill(const std::string &Name);
   pid_t pid(const std::string &Name) const;
 
@@ -94,6 +101,9 @@
   const std::string &address(const std::string &Name) const {
     return Addresses.at(Name);
   }
+  const std::string &upstreamAddress(const std::string &Id) const {
+    return address(Id);
+  }
   const Topology &topology() const { return T; }
   /// Directory of the logs of all processes.
   const std::string &directory() const { return Directory; }
@@ -124,6 +134,7 @@
   standin::v1::PlatformCounters
   setFaults(const standin::v1::PlatformFaults &Faults);
   standin::v1::PlatformCounters countPlatformCalls();
+  operators::v1::StatusAnswer proxyStatus(const std::string &Id);
   void setCut(const standin::v1::LinkFilter &Links, bool Cut);
   /// Cuts or heals all links to an upstream or proxy.
   void setCutTo(const std::string &Name, bool Cut);
@@ -133,7 +144,6 @@
 private:
   void run(const std::string &Name, std::vector<std::string> Command);
   void startNetwork();
-  void startUpstream(const std::string &Id);
   void writeConfiguration();
   void put(const std::string &Key, const std::string &Value);
   std::string newAddress();
--- a/tests/fleet/standin-test.cpp
+++ b/tests/fleet/standin-test.cpp
@@ -88,6 +88,22 @@
   CHECK(valueOf(Third.execute(get("k"), 1).result()).list_size() == 1);
 }
 
+// Guards against a restarted server that lost its log or its term.
+TEST_CASE("a killed upstream restarts with its journal") {
+  Fleet F(oneDatabase());
+  std::uint64_t Last = 0;
+  {
+    DirectConnection Primary(F.address("auftraege-1"));
+    for (int I = 0; I < 50; ++I)
+      Last = Primary.execute(add("n", 1), 1).position().index();
+  }
+  F.kill("auftraege-1");
+  F.startUpstream("auftraege-1");
+  DirectConnection Primary(F.address("auftraege-1"));
+  CHECK(Primary.opened().status().applied().index() == Last);
+  CHECK(valueOf(Primary.execute(add("n", 1), 1).result()).number() == 51);
+}
+
 // Guards against lost or repeated effects under concurrency; the printed rate
 // tells whether the stand-in would limit a measurement.
 TEST_CASE("30 connections run statements concurrently") {
--- a/tests/standin/src/database.cpp
+++ b/tests/standin/src/database.cpp
@@ -79,6 +79,17 @@
       .count();
 }
 
+void Database::restore(const v1::JournalRecord &Record) {
+  auto Kept = std::exchange(Journal, {});
+  if (Record.has_entry())
+    append(Record.entry());
+  else if (Record.has_terms())
+    Terms = Record.terms();
+  else
+    cut(Record.cut());
+  Journal = std::move(Kept);
+}
+
 ServerFrame Database::raiseTerm(std::uint64_t Term,
                                 const std::string &Candidate) {
   bool Repeated = Term == Terms.raised_term() && !Candidate.empty() &&
@@ -88,6 +99,7 @@
   if (!Repeated) {
     Terms.set_raised_term(Term);
     Terms.set_candidate(Candidate);
+    storeTerms();
   }
   return frame(CODE_OK);
 }
@@ -112,6 +124,7 @@
   Terms.set_role(UPSTREAM_ROLE_PRIMARY);
   Terms.set_role_term(Term);
   Terms.clear_primary_address();
+  storeTerms();
   // With an entry of the new term, this log compares as newer than any log
   // that misses the term.
   commitEntry({});
@@ -131,6 +144,7 @@
   Terms.set_role(UPSTREAM_ROLE_REPLICA);
   Terms.set_role_term(Term);
   Terms.set_primary_address(PrimaryAddress);
+  storeTerms();
   return frame(CODE_OK);
 }
 
@@ -298,7 +312,12 @@
     return false;
   if (Log.size() > Answer.common())
     cut(Answer.common());
-  *Terms.mutable_history() = Answer.history();
+  if (Terms.history_size() != Answer.history_size() ||
+      (Answer.history_size() > 0 &&
+       Terms.history().rbegin()->term() != Answer.history().rbegin()->term())) {
+    *Terms.mutable_history() = Answer.history();
+    storeTerms();
+  }
   for (const auto &Entry : Answer.entries())
     if (Entry.position().index() == Log.size() + 1)
       append(Entry);
@@ -364,6 +383,11 @@
 }
 
 void Database::append(const v1::LogEntry &Entry) {
+  if (Journal) {
+    v1::JournalRecord Record;
+    *Record.mutable_entry() = Entry;
+    Journal(Record);
+  }
   for (const v1::Statement &S : Entry.statements()) {
     Cell &C = Cells[S.key()];
     apply(S, C.Content);
@@ -375,6 +399,12 @@
 }
 
 void Database::cut(std::uint64_t Index) {
+  if (Journal) {
+    v1::JournalRecord Record;
+    Record.set_cut(Index);
+    Journal(Record);
+  }
+  auto Unused = std::exchange(Journal, {});
   std::deque<v1::LogEntry> Kept;
   Kept.swap(Log);
   Kept.resize(std::min<std::size_t>(Index, Kept.size()));
@@ -382,6 +412,15 @@
   Records.clear();
   for (const v1::LogEntry &Entry : Kept)
     append(Entry);
+  Journal = std::move(Unused);
+}
+
+void Database::storeTerms() {
+  if (!Journal)
+    return;
+  v1::JournalRecord Record;
+  *Record.mutable_terms() = Terms;
+  Journal(Record);
 }
 
 } // namespace eelgrassloom::standin
--- a/tests/standin/src/database.h
+++ b/tests/standin/src/database.h
@@ -9,6 +9,7 @@
 #include "upstream.pb.h"
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -32,7 +33,13 @@
 
 class Database {
 public:
-  explicit Database(std::string Id) : Id(std::move(Id)) {}
+  /// \p Journal receives every durable change before it is answered.
+  explicit Database(std::string Id,
+                    std::function<void(const v1::JournalRecord &)> Journal = {})
+      : Id(std::move(Id)), Journal(std::move(Journal)) {}
+
+  /// Repeats a journalled change.
+  void restore(const v1::JournalRecord &Record);
 
   ServerFrame raiseTerm(std::uint64_t Term, const std::string &Candidate);
   ServerFrame promote(std::uint64_t Term, const std::string &Candidate);
@@ -79,8 +86,10 @@
   Position commitEntry(v1::LogEntry Entry);
   void append(const v1::LogEntry &Entry);
   void cut(std::uint64_t Index);
+  void storeTerms();
 
   std::string Id;
+  std::function<void(const v1::JournalRecord &)> Journal;
   v1::TermState Terms;
   std::deque<v1::LogEntry> Log;
   std::unordered_map<std::string, Cell> Cells;
--- a/tests/standin/src/upstream.cpp
+++ b/tests/standin/src/upstream.cpp
@@ -9,6 +9,9 @@
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
+#include <fstream>
+#include <google/protobuf/io/zero_copy_stream_impl.h>
+#include <google/protobuf/util/delimited_message_util.h>
 #include <list>
 #include <mutex>
 #include <optional>
@@ -69,7 +72,32 @@
                      public v1::UpstreamControl::Service {
 public:
   Server(std::string Id, std::map<std::string, std::string> AddressMap)
-      : Db(std::move(Id)), AddressMap(std::move(AddressMap)) {}
+      : Db(std::move(Id), [this](const auto &R) { write(R); }),
+        AddressMap(std::move(AddressMap)) {}
+
+  /// Repeats the journal in \p File, then appends to it.
+  void openJournal(const std::string &File) {
+    std::int64_t Complete = 0;
+    {
+      std::ifstream Old(File, std::ios::binary);
+      google::protobuf::io::IstreamInputStream In(&Old);
+      v1::JournalRecord Record;
+      bool End = false;
+      while (google::protobuf::util::ParseDelimitedFromZeroCopyStream(
+          &Record, &In, &End)) {
+        Db.restore(Record);
+        Complete = In.ByteCount();
+        Record.Clear();
+      }
+    }
+    // A kill may have left an incomplete record at the end.
+    std::ofstream(File, std::ios::app | std::ios::binary).close();
+    if (truncate(File.c_str(), Complete) != 0)
+      throw std::runtime_error("cannot truncate " + File);
+    JournalFile.open(File, std::ios::app | std::ios::binary);
+  }
+
+  bool fresh() { return Db.status().raised_term() == 0; }
 
   void startAs(std::uint64_t Term, const std::string &PrimaryAddress) {
     std::lock_guard Lock(Mutex);
@@ -112,6 +140,12 @@
   void replicate();
 
 private:
+  void write(const v1::JournalRecord &Record) {
+    if (!JournalFile.is_open())
+      return;
+    google::protobuf::util::SerializeDelimitedToOstream(Record, &JournalFile);
+    JournalFile.flush();
+  }
   ServerFrame handle(const ClientFrame &In, Session &S);
   ServerFrame execute(const Execute &Request, Session &S);
   ServerFrame commit(const Commit &Request, Session &S);
@@ -139,6 +173,7 @@
   std::mutex Mutex;
   /// Log, term or role changed.
   std::condition_variable Changed;
+  std::ofstream JournalFile;
   Database Db;
   std::map<std::string, std::string> AddressMap;
   Slots Free;
@@ -401,7 +436,8 @@
                        {"address-map", ""},
                        {"slots", "5"},
                        {"service-us", "1000"},
-                       {"connection-limit", "30"}});
+                       {"connection-limit", "30"},
+                       {"journal", ""}});
   prepareProcess();
   Server Db(F["id"], readAddressMap(F["address-map"]));
   auto Number = [&](const char *Name) {
@@ -413,7 +449,9 @@
   Initial.set_service_us(Number("service-us"));
   Initial.set_connection_limit(Number("connection-limit"));
   Db.Configure(nullptr, &Initial, &Unused);
-  if (Number("term") > 0)
+  if (!F["journal"].empty())
+    Db.openJournal(F["journal"]);
+  if (Number("term") > 0 && Db.fresh())
     Db.startAs(Number("term"), F["primary"]);
   std::thread([&Db] { Db.replicate(); }).detach();
   int Status = serve(F["listen"], Db.services());
--- a/tests/standin/test/database-test.cpp
+++ b/tests/standin/test/database-test.cpp
@@ -263,3 +263,24 @@
   CHECK(Db.commit(One, C, 1000).recorded());
   CHECK(content(Db) == "11");
 }
+
+// Guards against a restarted server that forgets a promise or an entry.
+TEST_CASE("the journal restores log, terms and records") {
+  std::vector<v1::JournalRecord> Journal;
+  Database Db("a", [&](const auto &R) { Journal.push_back(R); });
+  elect(Db, 1);
+  write(Db, 1, "a", "id");
+  Database New("n");
+  elect(New, 2);
+  Db.follow(2, "n");
+  REQUIRE(replicate(Db, New));
+  elect(Db, 5);
+  write(Db, 5, "b", "id");
+  Database Restored("a");
+  for (const auto &R : Journal)
+    Restored.restore(R);
+  CHECK(Restored.status().SerializeAsString() ==
+        Db.status().SerializeAsString());
+  CHECK(content(Restored) == "b");
+  CHECK(write(Restored, 5, "b", "id").recorded());
+}
