kernel: bounded wait and burst credit for the policy shares; bench-policies

A ticket may wait 40% of the time until its deadline while others wait behind it; a ticket into an empty queue is always accepted, because a refusal could not correct a wrong service estimate; an idle level may use 100 ms of service ahead of its share.

--- /dev/null
+++ b/bench/admission-model.cpp
@@ -0,0 +1,272 @@
+// Queue model of one upstream: what each priority level gets while one level
+// offers a multiple of its usual load.
+
+#include "kernel/admission.h"
+#include "kernel/registry.h"
+#include "policies.h"
+#include "simulation.h"
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace eelgrassloom {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration RunTime = 60s;
+constexpr std::uint64_t Seed = 20261204;
+
+struct LevelLoad {
+  /// Offered service time as a share of the capacity.
+  double Load = 0;
+  ServiceModel Service;
+  Duration Deadline{0};
+};
+
+struct Scenario {
+  const char *Name;
+  unsigned Slots;
+  std::array<LevelLoad, PriorityCount> Levels;
+};
+
+struct Variant {
+  const char *Name;
+  const char *Policy;
+  double MaxWaitShare;
+  Duration IdleCredit;
+};
+
+struct LevelResult {
+  unsigned Offered = 0, Good = 0, Late = 0, Refused = 0, Expired = 0;
+  /// Service time of statements that finished before their deadline.
+  Duration GoodWork{0};
+  Duration ExpiredWait{0};
+  std::vector<Duration> Latencies;
+
+  double served() const {
+    return Offered == 0 ? 1 : static_cast<double>(Good) / Offered;
+  }
+};
+
+struct RunResult {
+  unsigned Slots = 1;
+  std::array<LevelResult, PriorityCount> Levels;
+
+  /// Part of the capacity that went into statements of the level that
+  /// finished in time.
+  double share(std::size_t Level) const {
+    return seconds(Levels[Level].GoodWork) / (seconds(RunTime) * Slots);
+  }
+  double goodput() const { return share(0) + share(1) + share(2); }
+};
+
+/// One upstream, its queue and the statements that arrive.
+class UpstreamModel {
+public:
+  UpstreamModel(const Scenario &S, const Variant &V)
+      : Setup(S), Policy(*Registry<PriorityPolicy>::find(V.Policy)) {
+    for (std::size_t Level = 0; Level < PriorityCount; ++Level)
+      Random[Level].seed(Seed + Level);
+    State.Limit = S.Slots;
+    State.Options.MaxWaitShare = V.MaxWaitShare;
+    State.Options.IdleCredit = V.IdleCredit;
+    Out.Slots = S.Slots;
+  }
+
+  RunResult run() {
+    for (std::size_t Level = 0; Level < PriorityCount; ++Level)
+      arriveLater(Level);
+    Sim.runUntil(Instant() + RunTime);
+    return std::move(Out);
+  }
+
+private:
+  struct Statement {
+    std::size_t Level;
+    Duration Service;
+    Instant Arrived;
+  };
+
+  void arriveLater(std::size_t Level) {
+    const LevelLoad &L = Setup.Levels[Level];
+    Duration Gap(static_cast<Duration::rep>(
+        static_cast<double>(L.Service.Mean.count()) / (L.Load * Setup.Slots)));
+    Sim.after(exponential(Random[Level], Gap), [this, Level] {
+      arrive(Level);
+      arriveLater(Level);
+    });
+  }
+
+  void arrive(std::size_t Level) {
+    const LevelLoad &L = Setup.Levels[Level];
+    Statement New{Level, draw(Random[Level], L.Service), Sim.now()};
+    LevelResult &R = Out.Levels[Level];
+    ++R.Offered;
+    Ticket T{NextId++, static_cast<Priority>(Level), Sim.now(),
+             Sim.now() + L.Deadline - State.ServiceTime[Level]};
+    if (Policy.Offer(State, T, Sim.now()) != AdmissionResult::Queued) {
+      ++R.Refused;
+      return;
+    }
+    Statements[T.Id] = New;
+    pump();
+  }
+
+  void pump() {
+    AdmissionActions Actions = Policy.Pump(State, Sim.now());
+    for (TicketId Id : Actions.Expire) {
+      const Statement &S = Statements[Id];
+      LevelResult &R = Out.Levels[S.Level];
+      ++R.Expired;
+      R.ExpiredWait += Sim.now() - S.Arrived;
+      Statements.erase(Id);
+    }
+    for (TicketId Id : Actions.Start)
+      Sim.after(Statements[Id].Service, [this, Id] { finish(Id); });
+  }
+
+  void finish(TicketId Id) {
+    Statement Done = Statements[Id];
+    Statements.erase(Id);
+    LevelResult &R = Out.Levels[Done.Level];
+    Duration Latency = Sim.now() - Done.Arrived;
+    if (Latency <= Setup.Levels[Done.Level].Deadline) {
+      ++R.Good;
+      R.GoodWork += Done.Service;
+      R.Latencies.push_back(Latency);
+    } else {
+      ++R.Late;
+    }
+    Policy.Finish(State, static_cast<Priority>(Done.Level), Done.Service,
+                  Sim.now());
+    pump();
+  }
+
+  Simulation Sim;
+  /// One per level, so that the load of a level does not depend on the others.
+  std::array<Generator, PriorityCount> Random;
+  Scenario Setup;
+  const PriorityPolicy &Policy;
+  AdmissionState State;
+  std::unordered_map<TicketId, Statement> Statements;
+  TicketId NextId = 1;
+  RunResult Out;
+};
+
+RunResult run(Scenario S, const Variant &V, std::size_t Overloaded,
+              double Factor) {
+  S.Levels[Overloaded].Load *= Factor;
+  return UpstreamModel(S, V).run();
+}
+
+void printRun(const Scenario &S, const Variant &V, std::size_t Overloaded,
+              double Factor) {
+  RunResult Base = run(S, V, 0, 1);
+  RunResult R = run(S, V, Overloaded, Factor);
+  std::printf("%-13s %-7s %-10s %3.0fx %5.1f", S.Name, V.Name,
+              Factor > 1 ? PriorityNames[Overloaded].data() : "none", Factor,
+              100 * R.goodput());
+  for (std::size_t L = 0; L < PriorityCount; ++L)
+    std::printf(" | %5.1f %5.1f %5u %4.0f", 100 * R.share(L),
+                100 * R.Levels[L].served() / Base.Levels[L].served(),
+                R.Levels[L].Late,
+                1e3 * seconds(quantile(R.Levels[L].Latencies, 0.99)));
+  std::printf("\n");
+}
+
+/// Worst figures of a variant over all overloads of a scenario.
+void printWorst(const Scenario &S, const Variant &V) {
+  RunResult Base = run(S, V, 0, 1);
+  double Goodput = 1, Urgent = 1, Others = 1, ExpiredWait = 0;
+  unsigned Late = 0, Expired = 0;
+  for (std::size_t Overloaded = 0; Overloaded < PriorityCount; ++Overloaded)
+    for (double Factor : {10, 20, 50}) {
+      RunResult R = run(S, V, Overloaded, Factor);
+      Goodput = std::min(Goodput, R.goodput());
+      for (std::size_t L = 0; L < PriorityCount; ++L) {
+        Late += R.Levels[L].Late;
+        Expired += R.Levels[L].Expired;
+        ExpiredWait += seconds(R.Levels[L].ExpiredWait);
+        if (L == Overloaded)
+          continue;
+        double &Worst = L == 0 ? Urgent : Others;
+        Worst = std::min(Worst, R.Levels[L].served() / Base.Levels[L].served());
+      }
+    }
+  std::printf("%-13s %-18s %5.1f %5.1f %5.1f %5.1f %6u %5.0f\n", S.Name, V.Name,
+              100 * Base.goodput(), 100 * Goodput, 100 * Urgent, 100 * Others,
+              Late, 1e3 * ExpiredWait / std::max(1U, Expired));
+}
+
+/// Loads are below the guaranteed shares of 60, 25 and 15 percent.
+const std::vector<Scenario> &scenarios() {
+  static const std::vector<Scenario> All = {
+      {"verband",
+       5,
+       {{{0.40, {5ms, 0}, 500ms},
+         {0.20, {8ms, 0}, 1s},
+         {0.12, {4ms, 0}, 300ms}}}},
+      {"verband-long",
+       5,
+       {{{0.40, {5ms, 0.02}, 500ms},
+         {0.20, {8ms, 0.02}, 1s},
+         {0.12, {4ms, 0.05}, 300ms}}}},
+      {"verband-tight",
+       5,
+       {{{0.40, {5ms, 0.02}, 100ms},
+         {0.20, {8ms, 0.02}, 200ms},
+         {0.12, {4ms, 0.05}, 60ms}}}},
+      {"unidad",
+       2,
+       {{{0.50, {8ms, 0}, 1s}, {0.20, {8ms, 0}, 1s}, {0.10, {5ms, 0}, 2s}}}},
+      {"unidad-long",
+       2,
+       {{{0.50, {8ms, 0.02}, 1s},
+         {0.20, {8ms, 0.02}, 1s},
+         {0.10, {5ms, 0.05}, 2s}}}},
+      {"unidad-tight",
+       2,
+       {{{0.50, {8ms, 0.02}, 250ms},
+         {0.20, {8ms, 0.02}, 250ms},
+         {0.10, {5ms, 0.05}, 500ms}}}},
+  };
+  return All;
+}
+
+} // namespace
+
+void measureAdmission() {
+  const Variant Shares = {"shares", "shares", 0.4, 100ms};
+  const Variant Fifo = {"fifo", "fifo", 1, 0ms};
+  std::printf("Service by priority level in percent of the capacity, percent "
+              "of the statements kept\nin relation to no overload, late "
+              "statements, 99th percentile of the latency in ms\n"
+              "(urgent | normal | background)\n"
+              "scenario      policy  overload       good");
+  std::printf(" | share  kept  late  p99 | share  kept  late  p99 | share  "
+              "kept  late  p99\n");
+  for (const Scenario &S : scenarios())
+    for (const Variant &V : {Shares, Fifo}) {
+      printRun(S, V, 0, 1);
+      for (std::size_t Level = 0; Level < PriorityCount; ++Level)
+        printRun(S, V, Level, 10);
+    }
+  std::printf("\nWorst over overloads of each level by 10, 20 and 50, in "
+              "percent; late statements;\nmean wait of dropped statements in "
+              "ms\n"
+              "scenario      variant             base  good urgnt other   late "
+              " wait\n");
+  for (const Scenario &S : scenarios())
+    for (const Variant &V : {Variant{"wait 1, credit 0", "shares", 1, 0ms},
+                             {"wait 0.4, credit 0", "shares", 0.4, 0ms},
+                             {"wait 1, credit 100", "shares", 1, 100ms},
+                             Shares,
+                             Fifo})
+      printWorst(S, V);
+}
+
+} // namespace eelgrassloom
--- /dev/null
+++ b/bench/policies.cpp
@@ -0,0 +1,6 @@
+#include "policies.h"
+
+int main() {
+  eelgrassloom::measureAdmission();
+  eelgrassloom::measureRouting();
+}
--- /dev/null
+++ b/bench/routing-model.cpp
@@ -0,0 +1,5 @@
+#include "policies.h"
+
+namespace eelgrassloom {
+void measureRouting() {}
+} // namespace eelgrassloom
--- a/packages/kernel/include/kernel/admission.h
+++ b/packages/kernel/include/kernel/admission.h
@@ -28,6 +28,13 @@
   PriorityShares Shares = {60, 25, 15};
   /// Statements that may wait, by priority.
   std::array<std::size_t, PriorityCount> QueueLimit = {256, 256, 256};
+  /// Part of the time between arrival and deadline that a ticket may wait while
+  /// others wait behind it. The rest lets statements that take much longer than
+  /// the average finish in time. See docs/POLICIES.md.
+  double MaxWaitShare = 0.4;
+  /// Service time that an idle level may use ahead of its share when its work
+  /// arrives in bursts.
+  Duration IdleCredit = std::chrono::milliseconds(100);
 };
 
 /// State of one upstream's queues.
@@ -38,6 +45,8 @@
   unsigned InFlight = 0;
   std::array<unsigned, PriorityCount> InFlightByPriority{};
   std::array<std::deque<Ticket>, PriorityCount> Queues;
+  /// No waiting ticket has an earlier deadline.
+  Instant EarliestDeadline = Instant::max();
   /// Service time received, divided by the share; the level with the lowest
   /// value is served next.
   std::array<double, PriorityCount> VirtualTime{};
@@ -55,13 +64,13 @@
 /// Outcome of a queue pass.
 struct AdmissionActions {
   std::vector<TicketId> Start;
-  /// Deadline passed while waiting; never started.
+  /// Waited too long; never started.
   std::vector<TicketId> Expire;
 };
 
 /// Plug-in: a priority policy.
 struct PriorityPolicy {
-  /// Puts a ticket into its queue, or refuses it at the door.
+  /// Puts a ticket into its queue, or refuses it at admission.
   AdmissionResult (*Offer)(AdmissionState &S, const Ticket &T, Instant Now);
   /// Picks the tickets to start while there are free slots.
   AdmissionActions (*Pump)(AdmissionState &S, Instant Now);
--- a/packages/kernel/include/kernel/staleness.h
+++ b/packages/kernel/include/kernel/staleness.h
@@ -64,6 +64,11 @@
 Duration stalenessBound(const StalenessState &S, const History &Line,
                         Position Applied, Instant Now);
 
+/// How far the log is behind the newest confirmed sample, for an estimate of
+/// the wait for a position; zero if unknown.
+Duration estimatedLag(const StalenessState &S, const History &Line,
+                      Position Applied);
+
 } // namespace eelgrassloom
 
 #endif // EELGRASSLOOM_KERNEL_STALENESS_H
--- a/packages/kernel/src/admission.cpp
+++ b/packages/kernel/src/admission.cpp
@@ -29,13 +29,23 @@
       static_cast<double>(Service.count()) / weight(S, Level);
 }
 
+void enqueue(AdmissionState &S, const Ticket &T) {
+  S.Queues[index(T.WorkPriority)].push_back(T);
+  S.EarliestDeadline = std::min(S.EarliestDeadline, T.Deadline);
+}
+
 void expire(AdmissionState &S, Instant Now, std::vector<TicketId> &Expired) {
+  if (Now <= S.EarliestDeadline)
+    return;
+  S.EarliestDeadline = Instant::max();
   for (auto &Queue : S.Queues)
     std::erase_if(Queue, [&](const Ticket &T) {
-      if (T.Deadline >= Now)
-        return false;
-      Expired.push_back(T.Id);
-      return true;
+      if (T.Deadline < Now) {
+        Expired.push_back(T.Id);
+        return true;
+      }
+      S.EarliestDeadline = std::min(S.EarliestDeadline, T.Deadline);
+      return false;
     });
 }
 
@@ -82,20 +92,44 @@
 
 AdmissionResult offerShares(AdmissionState &S, const Ticket &T, Instant Now) {
   std::size_t Level = index(T.WorkPriority);
-  if (S.Queues[Level].size() >= S.Options.QueueLimit[Level])
+  auto &Queue = S.Queues[Level];
+  if (Queue.size() >= S.Options.QueueLimit[Level])
     return AdmissionResult::QueueFull;
-  if (Now + expectedWaitShares(S, T.WorkPriority) > T.Deadline)
+  if (T.Deadline < Now)
+    return AdmissionResult::TooLate;
+  // An empty queue accepts any ticket: the estimate is corrected by finished
+  // statements only, so refusing all of them would keep a wrong one for good.
+  if (!Queue.empty() && expectedWaitShares(S, T.WorkPriority) >
+                            scaled(T.Deadline - Now, S.Options.MaxWaitShare))
     return AdmissionResult::TooLate;
-  // A level that was idle gets no credit for the time it did not use.
-  if (S.Queues[Level].empty())
-    S.VirtualTime[Level] = std::max(S.VirtualTime[Level], S.VirtualNow);
-  S.Queues[Level].push_back(T);
+  // Without a bound, a level that was idle for long could displace the others
+  // for as long.
+  if (Queue.empty())
+    S.VirtualTime[Level] = std::max(
+        S.VirtualTime[Level],
+        S.VirtualNow - static_cast<double>(S.Options.IdleCredit.count()) /
+                           weight(S, Level));
+  enqueue(S, T);
   return AdmissionResult::Queued;
 }
 
+/// Drops tickets that are unlikely to finish in time, so that the ones behind
+/// them do.
+void dropLate(AdmissionState &S, Instant Now, std::vector<TicketId> &Expired) {
+  for (auto &Queue : S.Queues)
+    while (Queue.size() > 1 &&
+           Now - Queue.front().Enqueued >
+               scaled(Queue.front().Deadline - Queue.front().Enqueued,
+                      S.Options.MaxWaitShare)) {
+      Expired.push_back(Queue.front().Id);
+      Queue.pop_front();
+    }
+}
+
 AdmissionActions pumpShares(AdmissionState &S, Instant Now) {
   AdmissionActions Actions;
   expire(S, Now, Actions.Expire);
+  dropLate(S, Now, Actions.Expire);
   while (S.InFlight < S.Limit) {
     std::size_t Next = PriorityCount;
     for (std::size_t L = 0; L < PriorityCount; ++L)
@@ -152,7 +186,7 @@
     return AdmissionResult::QueueFull;
   if (Now + expectedWaitFifo(S, T.WorkPriority) > T.Deadline)
     return AdmissionResult::TooLate;
-  S.Queues[index(T.WorkPriority)].push_back(T);
+  enqueue(S, T);
   return AdmissionResult::Queued;
 }
 
--- a/packages/kernel/src/staleness.cpp
+++ b/packages/kernel/src/staleness.cpp
@@ -67,6 +67,15 @@
   });
 }
 
+/// Null if the log contains no confirmed sample.
+const PrimarySample *newestContained(const StalenessState &S,
+                                     const History &Line, Position Applied) {
+  for (auto P = S.Samples.rbegin(); P != S.Samples.rend(); ++P)
+    if (P->Confirmed && contains(Line, Applied, P->Committed))
+      return &*P;
+  return nullptr;
+}
+
 } // namespace detail
 
 void observe(StalenessState &S, const StatusObservation &O) {
@@ -80,10 +89,16 @@
 
 Duration stalenessBound(const StalenessState &S, const History &Line,
                         Position Applied, Instant Now) {
-  for (auto P = S.Samples.rbegin(); P != S.Samples.rend(); ++P)
-    if (P->Confirmed && contains(Line, Applied, P->Committed))
-      return std::max(Duration::zero(), Now - P->At);
-  return Duration::max();
+  const PrimarySample *P = detail::newestContained(S, Line, Applied);
+  return P ? std::max(Duration::zero(), Now - P->At) : Duration::max();
+}
+
+Duration estimatedLag(const StalenessState &S, const History &Line,
+                      Position Applied) {
+  const PrimarySample *P = detail::newestContained(S, Line, Applied);
+  auto Newest = std::find_if(S.Samples.rbegin(), S.Samples.rend(),
+                             [](const auto &X) { return X.Confirmed; });
+  return P ? Newest->At - P->At : Duration::zero();
 }
 
 } // namespace eelgrassloom
