kernel: property tests; positions at the start of a term are on the line

Samples of the staleness bound are thinned from the oldest one, so that a limit of two samples holds. Result<T> accepts a vector of findings as its value type.

--- a/packages/kernel/include/kernel/position.h
+++ b/packages/kernel/include/kernel/position.h
@@ -42,7 +42,8 @@
   NotYet,
 };
 
-/// Relation of a position to a line. The zero position is on every line.
+/// Relation of a position to a line. Index 0 is on every line. The index at
+/// which a term starts names the state before the first entry of that term.
 Lineage lineage(const History &Line, Position P);
 
 /// True if a log on \p Line that has applied \p Applied contains \p P.
--- a/packages/kernel/include/kernel/result.h
+++ b/packages/kernel/include/kernel/result.h
@@ -4,6 +4,7 @@
 #ifndef EELGRASSLOOM_KERNEL_RESULT_H
 #define EELGRASSLOOM_KERNEL_RESULT_H
 
+#include <cstddef>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -28,9 +29,9 @@
 /// Either a value or at least one finding.
 template <class T> class Result {
 public:
-  static Result success(T Value) { return Result(std::move(Value)); }
+  static Result success(T Value) { return Result(std::in_place_index<0>, std::move(Value)); }
   static Result failure(std::vector<Finding> Findings) {
-    return Result(std::move(Findings));
+    return Result(std::in_place_index<1>, std::move(Findings));
   }
 
   bool ok() const { return State.index() == 0; }
@@ -48,9 +49,9 @@
   const std::vector<Finding> &findings() const { return std::get<1>(State); }
 
 private:
-  explicit Result(T Value) : State(std::in_place_index<0>, std::move(Value)) {}
-  explicit Result(std::vector<Finding> Findings)
-      : State(std::in_place_index<1>, std::move(Findings)) {}
+  template <std::size_t Index, class Content>
+  Result(std::in_place_index_t<Index> Alternative, Content Value)
+      : State(Alternative, std::move(Value)) {}
 
   void check() const {
     if (!ok())
--- a/packages/kernel/include/kernel/routing.h
+++ b/packages/kernel/include/kernel/routing.h
@@ -61,6 +61,9 @@
 struct RoutingOptions {
   /// Longest wait for a replica before the primary is preferred.
   Duration MaxReplicaWait = std::chrono::milliseconds(20);
+  /// A read goes to the primary if the best replica is expected to answer
+  /// later by more than this.
+  Duration PrimarySpill = std::chrono::milliseconds(50);
   /// One-way delay between failure domains.
   Duration CrossDomainDelay = std::chrono::microseconds(1500);
 };
--- a/packages/kernel/src/position.cpp
+++ b/packages/kernel/src/position.cpp
@@ -4,7 +4,7 @@
 namespace eelgrassloom {
 
 Lineage lineage(const History &Line, Position P) {
-  if (P == Position{})
+  if (P.Index == 0)
     return Lineage::OnLine;
   auto Later = std::find_if(Line.begin(), Line.end(), [&](const TermStart &T) {
     return T.Term > P.Term;
@@ -14,7 +14,7 @@
   auto Own = std::find_if(Line.begin(), Line.end(),
                           [&](const TermStart &T) { return T.Term == P.Term; });
   if (Own != Line.end())
-    return Own->Start < P.Index ? Lineage::OnLine : Lineage::Lost;
+    return Own->Start <= P.Index ? Lineage::OnLine : Lineage::Lost;
   return Later == Line.end() ? Lineage::NotYet : Lineage::Lost;
 }
 
--- a/packages/kernel/src/routing.cpp
+++ b/packages/kernel/src/routing.cpp
@@ -99,10 +99,10 @@
   // What the session has seen was committed before now, so it is usually
   // replayed here within the lag.
   Duration Expected = std::max(Duration::zero(), U.Lag - (Now - U.ObservedAt));
-  if (Expected > Options.MaxReplicaWait || Expected > Request.Remaining)
+  Duration Wait = std::min(Options.MaxReplicaWait, Request.Remaining);
+  if (Wait <= Duration::zero() || Expected > Wait)
     return {};
-  return {&U, std::min(Options.MaxReplicaWait, Request.Remaining),
-          Cost + Expected};
+  return {&U, Wait, Cost + Expected};
 }
 
 Route chooseCausal(const RouteRequest &Request,
@@ -125,6 +125,11 @@
   }
   if (!Best.View)
     return Primary;
+  const UpstreamView *P = primary(Upstreams);
+  if (Primary.Kind == RouteKind::Send && Primary.Wait == Duration::zero() &&
+      !P->Leaving &&
+      Best.Cost > baseCost(Request, *P, Options) + Options.PrimarySpill)
+    return Primary;
   return {RouteKind::Send, Best.View->Id, Best.Wait};
 }
 
--- a/packages/kernel/src/staleness.cpp
+++ b/packages/kernel/src/staleness.cpp
@@ -9,7 +9,7 @@
   std::size_t Half = Samples.size() / 2;
   std::size_t Kept = 0;
   for (std::size_t I = 0; I < Samples.size(); ++I)
-    if (I >= Half || I % 2 == 0)
+    if (I >= Half || I % 2 == 1)
       Samples[Kept++] = Samples[I];
   Samples.resize(Kept);
 }
--- a/packages/kernel/test/position-test.cpp
+++ b/packages/kernel/test/position-test.cpp
@@ -1,5 +1,6 @@
 #include "kernel/position.h"
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 using namespace eelgrassloom;
 
@@ -27,3 +28,45 @@
   CHECK_FALSE(contains(Line, {2, 7}, {2, 8}));
   CHECK_FALSE(contains(Line, {2, 9}, {1, 7}));
 }
+
+// Guards against a freshly promoted primary without entries of its own being
+// taken for a lost branch.
+TEST_CASE("the start of a term and an empty log are on the line") {
+  CHECK(lineage({{1, 0}}, {1, 0}) == Lineage::OnLine);
+  CHECK(lineage({{1, 0}, {2, 5}}, {2, 5}) == Lineage::OnLine);
+  CHECK(lineage({{1, 0}, {2, 5}}, {2, 4}) == Lineage::Lost);
+}
+
+// Guards against lineage and the log itself disagreeing after promotions that
+// cut entries.
+TEST_CASE("lineage agrees with a log that is truncated by promotions") {
+  CHECK(rc::check([] {
+    std::vector<std::uint64_t> Log; // Term of each entry.
+    History Line = {{1, 0}};
+    std::vector<Position> Written;
+    std::vector<History> Earlier;
+    auto Terms = *rc::gen::inRange<std::uint64_t>(1, 8);
+    for (std::uint64_t Term = 1; Term <= Terms; ++Term) {
+      if (Term > 1) {
+        auto Kept = *rc::gen::inRange<std::size_t>(0, Log.size() + 1);
+        Log.resize(Kept);
+        std::erase_if(Line, [&](const TermStart &T) { return T.Start > Kept; });
+        Line.push_back({Term, Kept});
+      }
+      auto Entries = *rc::gen::inRange(0, 5);
+      for (int I = 0; I < Entries; ++I) {
+        Log.push_back(Term);
+        Written.push_back({Term, Log.size()});
+      }
+      Earlier.push_back(Line);
+    }
+    for (Position P : Written) {
+      bool Survived = P.Index <= Log.size() && Log[P.Index - 1] == P.Term;
+      RC_ASSERT((lineage(Line, P) == Lineage::OnLine) == Survived);
+      RC_ASSERT((lineage(Line, P) == Lineage::Lost) == !Survived);
+      RC_ASSERT(contains(Line, {0, Log.size()}, P) == Survived);
+      for (std::size_t Term = 1; Term < P.Term; ++Term)
+        RC_ASSERT(lineage(Earlier[Term - 1], P) == Lineage::NotYet);
+    }
+  }));
+}
