kernel: no work for a replaced primary; tickets carry the answer's deadline

A run of 3,000 cases found a read that was sent to a primary of a replaced term whose log had lost the session's position. A primary with a lower term than the newest known line now receives nothing.

kernel-tests: 81 test cases pass; the kernel properties pass 3,000 cases each.

--- a/bench/admission-model.cpp
+++ b/bench/admission-model.cpp
@@ -107,7 +107,7 @@
     LevelResult &R = Out.Levels[Level];
     ++R.Offered;
     Ticket T{NextId++, static_cast<Priority>(Level), Sim.now(),
-             Sim.now() + L.Deadline - State.ServiceTime[Level]};
+             Sim.now() + L.Deadline};
     if (Policy.Offer(State, T, Sim.now()) != AdmissionResult::Queued) {
       ++R.Refused;
       return;
--- a/packages/kernel/include/kernel/admission.h
+++ b/packages/kernel/include/kernel/admission.h
@@ -20,7 +20,7 @@
   TicketId Id = 0;
   Priority WorkPriority = Priority::Normal;
   Instant Enqueued;
-  /// Latest instant at which starting is still useful.
+  /// Deadline of the answer; the queue leaves time for the usual service time.
   Instant Deadline;
 };
 
--- a/packages/kernel/src/admission.cpp
+++ b/packages/kernel/src/admission.cpp
@@ -29,6 +29,15 @@
       static_cast<double>(Service.count()) / weight(S, Level);
 }
 
+/// Ticket with the latest useful start in place of the deadline. The estimate
+/// takes at most half of the time, so that a wrong one can't refuse everything.
+Ticket withLatestStart(const AdmissionState &S, Ticket T, Instant Now) {
+  if (T.Deadline > Now)
+    T.Deadline -=
+        std::min(S.ServiceTime[index(T.WorkPriority)], (T.Deadline - Now) / 2);
+  return T;
+}
+
 void enqueue(AdmissionState &S, const Ticket &T) {
   S.Queues[index(T.WorkPriority)].push_back(T);
   S.EarliestDeadline = std::min(S.EarliestDeadline, T.Deadline);
@@ -90,7 +99,9 @@
                     guaranteedSlots(S, Level));
 }
 
-AdmissionResult offerShares(AdmissionState &S, const Ticket &T, Instant Now) {
+AdmissionResult offerShares(AdmissionState &S, const Ticket &Offered,
+                            Instant Now) {
+  Ticket T = withLatestStart(S, Offered, Now);
   std::size_t Level = index(T.WorkPriority);
   auto &Queue = S.Queues[Level];
   if (Queue.size() >= S.Options.QueueLimit[Level])
@@ -178,7 +189,9 @@
   return Duration(std::llround(Work / std::max(1U, S.Limit)));
 }
 
-AdmissionResult offerFifo(AdmissionState &S, const Ticket &T, Instant Now) {
+AdmissionResult offerFifo(AdmissionState &S, const Ticket &Offered,
+                          Instant Now) {
+  Ticket T = withLatestStart(S, Offered, Now);
   std::size_t Limit = 0;
   for (std::size_t LevelLimit : S.Options.QueueLimit)
     Limit += LevelLimit;
--- a/packages/kernel/src/routing.cpp
+++ b/packages/kernel/src/routing.cpp
@@ -58,7 +58,14 @@
   const UpstreamView *P = primary(Upstreams);
   if (!P || P->Suspected || listed(Excluded, P->Id))
     return {};
-  if (lineage(P->Line, Request.Seen) == Lineage::OnLine)
+  // A log with a higher term shows that this primary has been replaced.
+  const History *Newest = newestLine(Upstreams);
+  if (Newest && lastTerm(P->Line) < lastTerm(*Newest))
+    return {};
+  Lineage Relation = lineage(P->Line, Request.Seen);
+  if (Relation == Lineage::Lost)
+    return {};
+  if (Relation == Lineage::OnLine)
     return {RouteKind::Send, P->Id, Duration::zero()};
   // The session knows a newer term than this view of the primary. A read is
   // checked again by the upstream; a write could only end unconfirmed.
