--- a/bench/admission-model.cpp
+++ b/bench/admission-model.cpp
@@ -2,6 +2,7 @@
 // offers a multiple of its usual load.
 
 #include "kernel/admission.h"
+#include "kernel/limit.h"
 #include "kernel/registry.h"
 #include "policies.h"
 #include "simulation.h"
@@ -31,6 +32,9 @@
   const char *Name;
   unsigned Slots;
   std::array<LevelLoad, PriorityCount> Levels;
+  /// Slots that run at full speed; more statements at the same time slow each
+  /// other down.
+  unsigned FastSlots = Slots;
 };
 
 struct Variant {
@@ -38,6 +42,8 @@
   const char *Policy;
   double MaxWaitShare;
   Duration IdleCredit;
+  /// The concurrency follows the measured latency.
+  bool AdaptiveLimit = false;
 };
 
 struct LevelResult {
@@ -72,6 +78,8 @@
     for (std::size_t Level = 0; Level < PriorityCount; ++Level)
       Random[Level].seed(Seed + Level);
     State.Limit = S.Slots;
+    Limit = makeLimit(S.Slots);
+    Adaptive = V.AdaptiveLimit;
     State.Options.MaxWaitShare = V.MaxWaitShare;
     State.Options.IdleCredit = V.IdleCredit;
     Out.Slots = S.Slots;
@@ -89,6 +97,7 @@
     std::size_t Level;
     Duration Service;
     Instant Arrived;
+    Instant Started;
   };
 
   void arriveLater(std::size_t Level) {
@@ -103,7 +112,7 @@
 
   void arrive(std::size_t Level) {
     const LevelLoad &L = Setup.Levels[Level];
-    Statement New{Level, draw(Random[Level], L.Service), Sim.now()};
+    Statement New{Level, draw(Random[Level], L.Service), Sim.now(), {}};
     LevelResult &R = Out.Levels[Level];
     ++R.Offered;
     Ticket T{NextId++, static_cast<Priority>(Level), Sim.now(),
@@ -125,8 +134,21 @@
       R.ExpiredWait += Sim.now() - S.Arrived;
       Statements.erase(Id);
     }
-    for (TicketId Id : Actions.Start)
-      Sim.after(Statements[Id].Service, [this, Id] { finish(Id); });
+    for (TicketId Id : Actions.Start) {
+      Statement &S = Statements[Id];
+      S.Started = Sim.now();
+      Sim.after(slowed(S.Service), [this, Id] { finish(Id); });
+    }
+  }
+
+  /// Statements above the fast slots share them and cost 10% each.
+  Duration slowed(Duration Service) const {
+    if (State.InFlight <= Setup.FastSlots)
+      return Service;
+    double Factor = static_cast<double>(State.InFlight) / Setup.FastSlots *
+                    (1 + 0.1 * (State.InFlight - Setup.FastSlots));
+    return Duration(static_cast<Duration::rep>(
+        static_cast<double>(Service.count()) * Factor));
   }
 
   void finish(TicketId Id) {
@@ -141,8 +163,12 @@
     } else {
       ++R.Late;
     }
-    Policy.Finish(State, static_cast<Priority>(Done.Level), Done.Service,
-                  Sim.now());
+    auto Level = static_cast<Priority>(Done.Level);
+    Duration Took = Sim.now() - Done.Started;
+    recordLatency(Limit, Level, Took, Sim.now());
+    if (Adaptive)
+      State.Limit = limit(Limit);
+    Policy.Finish(State, Level, Took, Sim.now());
     pump();
   }
 
@@ -152,6 +178,8 @@
   Scenario Setup;
   const PriorityPolicy &Policy;
   AdmissionState State;
+  LimitState Limit;
+  bool Adaptive = false;
   std::unordered_map<TicketId, Statement> Statements;
   TicketId NextId = 1;
   RunResult Out;
@@ -202,6 +230,22 @@
               Late, 1e3 * ExpiredWait / std::max(1U, Expired));
 }
 
+/// Fixed and adaptive concurrency on an upstream with fewer fast slots than
+/// configured, and on one that is as fast as configured.
+void printLimit(Scenario S, unsigned FastSlots, double Factor) {
+  S.FastSlots = FastSlots;
+  for (bool Adaptive : {false, true}) {
+    Variant V = {"shares", "shares", 0.4, 100ms, Adaptive};
+    RunResult R = run(S, V, 2, Factor);
+    std::printf("%-13s %4u %3.0fx %-8s %5.1f | %5.1f %5.1f %5.1f | %4.0f\n",
+                S.Name, FastSlots, Factor, Adaptive ? "adaptive" : "fixed",
+                100 * R.goodput() * S.Slots / FastSlots,
+                100 * R.Levels[0].served(), 100 * R.Levels[1].served(),
+                100 * R.Levels[2].served(),
+                1e3 * seconds(quantile(R.Levels[0].Latencies, 0.99)));
+  }
+}
+
 /// Loads are below the guaranteed shares of 60, 25 and 15 percent.
 const std::vector<Scenario> &scenarios() {
   static const std::vector<Scenario> All = {
@@ -267,6 +311,17 @@
                              Shares,
                              Fifo})
       printWorst(S, V);
+  std::printf("\nConcurrency limit; background overloaded; goodput in percent "
+              "of the fast slots,\nstatements served by level, 99th "
+              "percentile of urgent in ms\n"
+              "scenario      fast      limit     good | urgnt normal backgr | "
+              " p99\n");
+  for (std::size_t I : {1, 4})
+    for (double Factor : {1, 10}) {
+      const Scenario &S = scenarios()[I];
+      printLimit(S, S.Slots, Factor);
+      printLimit(S, (S.Slots + 1) / 2, Factor);
+    }
 }
 
 } // namespace eelgrassloom
