--- a/packages/kernel/include/kernel/result.h
+++ b/packages/kernel/include/kernel/result.h
@@ -29,7 +29,9 @@
 /// Either a value or at least one finding.
 template <class T> class Result {
 public:
-  static Result success(T Value) { return Result(std::in_place_index<0>, std::move(Value)); }
+  static Result success(T Value) {
+    return Result(std::in_place_index<0>, std::move(Value));
+  }
   static Result failure(std::vector<Finding> Findings) {
     return Result(std::in_place_index<1>, std::move(Findings));
   }
