--- a/packages/kernel/test/routing-test.cpp
+++ b/packages/kernel/test/routing-test.cpp
@@ -129,6 +129,17 @@
   CHECK(choose("primary-only", staleRead({1, 3}), Views).Target == "p");
 }
 
+// Guards against a report that counts as fresh however old it is.
+TEST_CASE("the staleness grows while a view ages") {
+  std::vector<UpstreamView> Views = {view("p", Role::Primary, 9),
+                                     view("r", Role::Replica, 9)};
+  Views[1].Staleness = 60ms;
+  Views[1].ObservedAt = Now - 40ms;
+  CHECK(choose("causal", staleRead({}), Views).Target == "r");
+  Views[1].ObservedAt = Now - 41ms;
+  CHECK(choose("causal", staleRead({}), Views).Target == "p");
+}
+
 // Guards against waiting for a replica that is far behind.
 TEST_CASE("a short lag is waited for, a long one is not") {
   std::vector<UpstreamView> Views = {view("p", Role::Primary, 9),
