--- a/packages/ctl/src/arguments.cpp
+++ b/packages/ctl/src/arguments.cpp
@@ -112,8 +112,7 @@
                           "and --durability"});
       return;
     }
-    auto &Class =
-        *A.Intent.mutable_classes(A.Intent.classes_size() - 1);
+    auto &Class = *A.Intent.mutable_classes(A.Intent.classes_size() - 1);
     if (Which == PriorityFlag)
       takePriority(Class, Value);
     else if (Which == DurabilityFlag)
@@ -129,8 +128,7 @@
     if (auto P = parsePriority(Value))
       Class.set_priority(static_cast<types::v1::Priority>(index(*P) + 1));
     else
-      Findings.push_back(
-          {"--priority", Value, "urgent, normal or background"});
+      Findings.push_back({"--priority", Value, "urgent, normal or background"});
   }
 
   void takeDurability(config::v1::WorkloadClass &Class,
@@ -174,8 +172,7 @@
       poptGetContext(nullptr, Argc, Argv, Options, 0), poptFreeContext);
   for (int Next; (Next = poptGetNextOpt(Context.get())) != -1;) {
     if (Next < -1) {
-      R.Findings.push_back({poptBadOption(Context.get(), 0),
-                            poptStrerror(Next),
+      R.Findings.push_back({poptBadOption(Context.get(), 0), poptStrerror(Next),
                             "the flags that --help lists"});
       if (Next != POPT_ERROR_BADOPT && Next != POPT_ERROR_NOARG)
         break;
@@ -292,7 +289,8 @@
          "  intent FILE.json       state an intent; prints the plan for it\n"
          "  plan FILE.json         the same\n"
          "  plan FLAGS             the same with flags instead of a file:\n"
-         "      --leave UPSTREAM   take an upstream out of service; repeatable\n"
+         "      --leave UPSTREAM   take an upstream out of service; "
+         "repeatable\n"
          "      --enter UPSTREAM   put it back into service; repeatable\n"
          "      --class NAME       set rules of a class; repeatable, followed "
          "by\n"
--- a/packages/ctl/src/print.cpp
+++ b/packages/ctl/src/print.cpp
@@ -75,23 +75,22 @@
                             "ROLE", "POSITION", "HEALTH", "CONNECTIONS",
                             "IN FLIGHT", "QUEUED", "STALENESS"}};
   for (const auto &U : A.upstreams())
-    Rows.push_back(
-        {U.database(), U.id(), U.failure_domain(), orDash(U.owner()),
-         roleName(U.status().role()),
-         U.has_status() ? position(U.status().applied()) : "-", health(U),
-         std::to_string(U.connections()), std::to_string(U.in_flight()),
-         std::to_string(U.queued()),
-         std::to_string(U.staleness_ms()) + " ms"});
+    Rows.push_back({U.database(), U.id(), U.failure_domain(), orDash(U.owner()),
+                    roleName(U.status().role()),
+                    U.has_status() ? position(U.status().applied()) : "-",
+                    health(U), std::to_string(U.connections()),
+                    std::to_string(U.in_flight()), std::to_string(U.queued()),
+                    std::to_string(U.staleness_ms()) + " ms"});
   table(Out, Rows);
 }
 
 void groups(std::ostream &Out, const operators::v1::StatusAnswer &A) {
   std::vector<Row> Rows = {{"DATABASE", "TERM", "STATE", "PRIMARY"}};
   for (const auto &G : A.groups())
-    Rows.push_back({G.database(), std::to_string(G.term()),
-                    G.state() == config::v1::GROUP_STATE_STABLE ? "stable"
-                                                                : "electing",
-                    orDash(G.primary())});
+    Rows.push_back(
+        {G.database(), std::to_string(G.term()),
+         G.state() == config::v1::GROUP_STATE_STABLE ? "stable" : "electing",
+         orDash(G.primary())});
   table(Out, Rows);
 }
 
@@ -100,8 +99,8 @@
     const google::protobuf::RepeatedPtrField<config::v1::Change> &Changes) {
   std::vector<Row> Rows = {{"PLACE", "BEFORE", "AFTER", "REASON"}};
   for (const auto &C : Changes)
-    Rows.push_back({C.place(), orDash(C.before()), orDash(C.after()),
-                    C.reason()});
+    Rows.push_back(
+        {C.place(), orDash(C.before()), orDash(C.after()), C.reason()});
   table(Out, Rows);
 }
 
@@ -185,7 +184,8 @@
       {"TIME", "PROXY", "EVENT", "SUBJECT", "TEXT"}};
   for (const auto &E : A.events())
     Rows.push_back({detail::clockTime(E.at_us() - Offsets[E.proxy()]),
-                    E.proxy(), "E" + std::to_string(E.number()) + " " + E.name(),
+                    E.proxy(),
+                    "E" + std::to_string(E.number()) + " " + E.name(),
                     detail::subject(E), E.text()});
   detail::table(Out, Rows);
   Out << "\n";
--- a/packages/proxy/src/configwire.cpp
+++ b/packages/proxy/src/configwire.cpp
@@ -44,8 +44,7 @@
 }
 
 void reportPriority(Findings &Out, const std::string &Place, int Value) {
-  Out.push_back(
-      {Place, std::to_string(Value), "urgent, normal or background"});
+  Out.push_back({Place, std::to_string(Value), "urgent, normal or background"});
 }
 
 WorkloadClass readClass(const config::v1::WorkloadClass &Wire, Findings &Out) {
--- a/packages/proxy/src/control.cpp
+++ b/packages/proxy/src/control.cpp
@@ -34,9 +34,8 @@
   std::uint64_t Epoch = 0;
 };
 
-using ControlEvent =
-    std::variant<PeerEvent, ConnectionEvent, StatusWanted, DrainWanted,
-                 RefreshWanted, CompletionEvent>;
+using ControlEvent = std::variant<PeerEvent, ConnectionEvent, StatusWanted,
+                                  DrainWanted, RefreshWanted, CompletionEvent>;
 
 /// Shared with the handlers of calls in progress, which may end after the
 /// control thread.
--- a/packages/proxy/src/controlconfig.cpp
+++ b/packages/proxy/src/controlconfig.cpp
@@ -96,12 +96,11 @@
 void listHosts(ControlState &S) {
   S.Platform.Listing = true;
   S.Platform.NextList = S.Now + jittered(S, HostsInterval);
-  S.C.Platform->ListHosts(*S.C.PlatformConnection, PlatformTimeout,
-                          [Post = S.Post](const PlatformHosts &Hosts) {
-                            Post([Hosts](ControlState &State) {
-                              hostsListed(State, Hosts);
-                            });
-                          });
+  S.C.Platform->ListHosts(
+      *S.C.PlatformConnection, PlatformTimeout,
+      [Post = S.Post](const PlatformHosts &Hosts) {
+        Post([Hosts](ControlState &State) { hostsListed(State, Hosts); });
+      });
 }
 
 Parted parted(const Configuration &C) {
--- a/packages/proxy/src/controlgroups.cpp
+++ b/packages/proxy/src/controlgroups.cpp
@@ -12,9 +12,7 @@
 /// Interval of attempts to read a record that no peer has sent.
 constexpr Duration RecordReadInterval = std::chrono::seconds(1);
 
-template <class... Ts> struct Overloaded : Ts... {
-  using Ts::operator()...;
-};
+template <class... Ts> struct Overloaded : Ts... { using Ts::operator()...; };
 template <class... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
 
 /// Version of the item; a learned record gives way to every platform record of
@@ -59,11 +57,12 @@
     Duration Timeout = watched(S, Name)->Failover.Options.VoteTimeout;
     peerRequest(S, Address, std::move(M), Timeout,
                 [Db = Name, From = A.To](ControlState &State, PeerCode Code,
-                                             const peer::v1::PeerMessage &R) {
+                                         const peer::v1::PeerMessage &R) {
                   if (Code == PeerCode::Ok && R.has_vote_answer())
-                    stepGroup(State, Db,
-                              VoteReceived{From, R.vote_answer().term(),
-                                           R.vote_answer().primary_reachable()});
+                    stepGroup(
+                        State, Db,
+                        VoteReceived{From, R.vote_answer().term(),
+                                     R.vote_answer().primary_reachable()});
                 });
   }
 
@@ -83,15 +82,12 @@
     PlatformEntry Entry{groupKey(Name),
                         configwire::wire(A.Record).SerializeAsString(), 0};
     platformSwap(S, Entry, A.ExpectedRevision,
-                 [Db = Name, A](ControlState &State,
-                                    const PlatformReply &R) {
+                 [Db = Name, A](ControlState &State, const PlatformReply &R) {
                    stepGroup(State, Db, swapped(A, R, Db));
                  });
   }
 
-  void operator()(const QueryStatus &A) const {
-    call(A, UpstreamCall());
-  }
+  void operator()(const QueryStatus &A) const { call(A, UpstreamCall()); }
   void operator()(const RaiseTerm &A) const {
     UpstreamCall Call;
     Call.Operation = UpstreamOperation::RaiseTerm;
@@ -122,8 +118,7 @@
     // Dialled by the upstream itself, so that it is not translated here.
     Call.PrimaryAddress = Primary->Address;
     upstreamExchange(S, Name, *Target, Call, FollowTimeout,
-                     [Db = Name](ControlState &State,
-                                     const UpstreamReply &R) {
+                     [Db = Name](ControlState &State, const UpstreamReply &R) {
                        if (R.Code == UpstreamCode::Ok)
                          statusSeen(State, Db, R.Status);
                      });
@@ -160,8 +155,7 @@
 
 private:
   std::string candidate() const {
-    return candidateName(S,
-                         watched(S, Name)->Failover.Current.Target.Nonce);
+    return candidateName(S, watched(S, Name)->Failover.Current.Target.Nonce);
   }
 
   template <class Action>
@@ -225,24 +219,23 @@
   WatchedGroup &W = *watched(S, Database);
   W.Reading = true;
   W.NextRead = S.Now + jittered(S, RecordReadInterval);
-  platformGet(
-      S, groupKey(Database),
-      [Database](ControlState &State, const PlatformReply &R) {
-        WatchedGroup *Group = watched(State, Database);
-        if (!Group)
-          return;
-        Group->Reading = false;
-        if (R.Code != PlatformCode::Ok)
-          return;
-        Group->RecordRead = true;
-        if (R.Entry.Revision != 0) {
-          groupRead(State, R.Entry);
-          return;
-        }
-        RecordSeen Absent;
-        Absent.Record.Database = Database;
-        stepGroup(State, Database, Absent);
-      });
+  platformGet(S, groupKey(Database),
+              [Database](ControlState &State, const PlatformReply &R) {
+                WatchedGroup *Group = watched(State, Database);
+                if (!Group)
+                  return;
+                Group->Reading = false;
+                if (R.Code != PlatformCode::Ok)
+                  return;
+                Group->RecordRead = true;
+                if (R.Entry.Revision != 0) {
+                  groupRead(State, R.Entry);
+                  return;
+                }
+                RecordSeen Absent;
+                Absent.Record.Database = Database;
+                stepGroup(State, Database, Absent);
+              });
 }
 
 /// The database as the state machine sees it: leaving marks from all sources.
@@ -270,18 +263,18 @@
 
 void adoptGroup(ControlState &S, const GroupRecord &R, bool Learned) {
   auto It = S.Groups.find(R.Database);
-  if (It != S.Groups.end() && itemVersion(R, Learned) <=
-                                  itemVersion(It->second.Record,
-                                              It->second.Learned))
+  if (It != S.Groups.end() &&
+      itemVersion(R, Learned) <=
+          itemVersion(It->second.Record, It->second.Learned))
     return;
   S.Groups[R.Database] = {R, Learned};
   S.ViewDirty = true;
   S.C.Events->record(
       events::GroupAccepted, {R.Database, R.Primary, "", "", ""},
       "term " + std::to_string(R.Term) +
-          (Learned ? ", learned from the status of the primary"
-                   : (R.Phase == GroupPhase::Stable ? ", stable"
-                                                    : ", electing")));
+          (Learned
+               ? ", learned from the status of the primary"
+               : (R.Phase == GroupPhase::Stable ? ", stable" : ", electing")));
   putItems(S, {{groupKey(R.Database), itemVersion(R, Learned),
                 groupItemValue(R, Learned)}});
 }
@@ -320,8 +313,8 @@
   std::set<std::string, std::less<>> Keep;
   for (const Database &D : S.Config.Databases) {
     std::vector<ProxyId> Watchers = watchersOf(S.Owners, D);
-    bool Mine = std::find(Watchers.begin(), Watchers.end(),
-                          S.C.Options.Id) != Watchers.end();
+    bool Mine = std::find(Watchers.begin(), Watchers.end(), S.C.Options.Id) !=
+                Watchers.end();
     if (!Mine || S.Draining)
       continue;
     Keep.insert(D.Name);
@@ -364,8 +357,8 @@
   Answer->set_term(Request.term());
   // A proxy that does not watch the primary has no evidence against it.
   Answer->set_primary_reachable(
-      !W || primaryReachable(W->Failover, Request.term(), Request.primary(),
-                             S.Now));
+      !W ||
+      primaryReachable(W->Failover, Request.term(), Request.primary(), S.Now));
   Respond(std::move(M));
 }
 
--- a/packages/proxy/src/controlio.cpp
+++ b/packages/proxy/src/controlio.cpp
@@ -86,8 +86,7 @@
   P.Reachable = Ok;
   if (!Ok)
     S.C.Events->record(events::PlatformUnreachable, {},
-                       "platform " + S.C.Options.Platform +
-                           " does not answer");
+                       "platform " + S.C.Options.Platform + " does not answer");
   else if (!First)
     S.C.Events->record(events::PlatformReachable, {},
                        "platform " + S.C.Options.Platform + " answers");
@@ -124,12 +123,12 @@
 void peerRequest(ControlState &S, const std::string &Address,
                  peer::v1::PeerMessage Message, Duration Timeout,
                  PeerThen Then) {
-  S.C.Peers->request(
-      translated(S.C.Options, Address), std::move(Message), Timeout,
-      [Post = S.Post, Then = std::move(Then)](PeerCode Code,
-                                              const peer::v1::PeerMessage &M) {
-        Post([=](ControlState &State) { Then(State, Code, M); });
-      });
+  S.C.Peers->request(translated(S.C.Options, Address), std::move(Message),
+                     Timeout,
+                     [Post = S.Post, Then = std::move(Then)](
+                         PeerCode Code, const peer::v1::PeerMessage &M) {
+                       Post([=](ControlState &State) { Then(State, Code, M); });
+                     });
 }
 
 void peerSend(ControlState &S, const std::string &Address,
--- a/packages/proxy/src/controlpeers.cpp
+++ b/packages/proxy/src/controlpeers.cpp
@@ -13,15 +13,13 @@
 constexpr Duration ResponderLimit = std::chrono::seconds(2);
 const std::string LeavingPrefix = "leaving/";
 
-template <class... Ts> struct Overloaded : Ts... {
-  using Ts::operator()...;
-};
+template <class... Ts> struct Overloaded : Ts... { using Ts::operator()...; };
 template <class... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
 
 void memberReceived(ControlState &S, const peer::v1::PeerMessage &M) {
   if (auto Message = memberMessage(M))
-    applyMembership(S, received(S.Members, M.from(), M.from_address(),
-                                *Message, S.Now, S.Random));
+    applyMembership(S, received(S.Members, M.from(), M.from_address(), *Message,
+                                S.Now, S.Random));
 }
 
 void sendMember(ControlState &S, const SendMemberMessage &A) {
@@ -120,21 +118,20 @@
 void applySpread(ControlState &S, const SpreadActions &Actions) {
   bool ConfigTouched = false;
   for (const SpreadAction &A : Actions)
-    std::visit(Overloaded{[&](const SendDigest &D) {
-                            peerSend(S, peerAddress(S, D.To),
-                                     toPeerMessage(D.Digest));
-                          },
-                          [&](const SendItems &I) {
-                            peerSend(S, peerAddress(S, I.To),
-                                     toPeerMessage(I.Push));
-                          },
-                          [&](const ItemChanged &I) {
-                            if (I.Key.rfind("config", 0) == 0)
-                              ConfigTouched = true;
-                            else
-                              itemChanged(S, I.Key);
-                          }},
-               A);
+    std::visit(
+        Overloaded{[&](const SendDigest &D) {
+                     peerSend(S, peerAddress(S, D.To), toPeerMessage(D.Digest));
+                   },
+                   [&](const SendItems &I) {
+                     peerSend(S, peerAddress(S, I.To), toPeerMessage(I.Push));
+                   },
+                   [&](const ItemChanged &I) {
+                     if (I.Key.rfind("config", 0) == 0)
+                       ConfigTouched = true;
+                     else
+                       itemChanged(S, I.Key);
+                   }},
+        A);
   if (!ConfigTouched)
     return;
   if (auto C = assembled(S)) {
@@ -185,24 +182,23 @@
       Seeds.push_back(seedOf(P));
   MembershipOptions Options;
   Options.PauseLimit = PauseLimit;
-  S.Members =
-      makeMembership(Options, std::move(Self), std::move(Seeds), S.Now, S.Random);
+  S.Members = makeMembership(Options, std::move(Self), std::move(Seeds), S.Now,
+                             S.Random);
 }
 
 void applyMembership(ControlState &S, const MembershipActions &Actions) {
   for (const MembershipAction &A : Actions)
-    std::visit(
-        Overloaded{[&](const SendMemberMessage &M) { sendMember(S, M); },
-                   [&](const MemberChanged &M) { memberChanged(S, M); },
-                   [&](const SelfRefuted &R) {
-                     S.C.Incarnation->store(R.Incarnation);
-                   }},
-        A);
+    std::visit(Overloaded{[&](const SendMemberMessage &M) { sendMember(S, M); },
+                          [&](const MemberChanged &M) { memberChanged(S, M); },
+                          [&](const SelfRefuted &R) {
+                            S.C.Incarnation->store(R.Incarnation);
+                          }},
+               A);
 }
 
 void putItems(ControlState &S, std::vector<Item> Items) {
-  applySpread(S, put(S.Spread, std::move(Items), livePeers(S.Members),
-                     S.Random));
+  applySpread(S,
+              put(S.Spread, std::move(Items), livePeers(S.Members), S.Random));
 }
 
 void tickPeers(ControlState &S) {
--- a/packages/proxy/src/controlprobe.cpp
+++ b/packages/proxy/src/controlprobe.cpp
@@ -83,9 +83,9 @@
                                       const Database &D) {
   std::vector<const Upstream *> Out;
   auto Known = S.Groups.find(D.Name);
-  const Upstream *Primary =
-      Known == S.Groups.end() ? nullptr
-                              : findUpstream(D, Known->second.Record.Primary);
+  const Upstream *Primary = Known == S.Groups.end()
+                                ? nullptr
+                                : findUpstream(D, Known->second.Record.Primary);
   for (const Upstream &U : D.Upstreams)
     if (!Primary || Primary == &U)
       Out.push_back(&U);
--- a/packages/proxy/src/controlstate.h
+++ b/packages/proxy/src/controlstate.h
@@ -137,8 +137,8 @@
 /// Records that a platform call succeeded or failed.
 void platformSeen(ControlState &S, bool Ok);
 
-using PeerThen =
-    std::function<void(ControlState &, PeerCode, const peer::v1::PeerMessage &)>;
+using PeerThen = std::function<void(ControlState &, PeerCode,
+                                    const peer::v1::PeerMessage &)>;
 void peerRequest(ControlState &S, const std::string &Address,
                  peer::v1::PeerMessage Message, Duration Timeout,
                  PeerThen Then);
--- a/packages/proxy/src/controlview.cpp
+++ b/packages/proxy/src/controlview.cpp
@@ -89,9 +89,9 @@
   M->set_id(U.Id);
   M->set_address(U.Address);
   M->set_failure_domain(U.FailureDomain);
-  M->set_state(std::string(
-      name(Leaving && U.State == MemberState::Alive ? MemberState::Leaving
-                                                    : U.State)));
+  M->set_state(std::string(name(Leaving && U.State == MemberState::Alive
+                                    ? MemberState::Leaving
+                                    : U.State)));
   M->set_incarnation(U.Incarnation);
 }
 
@@ -182,10 +182,10 @@
       Out->Groups[D.Name] = groupView(S, It->second.Record);
     for (const Upstream &U : D.Upstreams) {
       if (const ProxyId *Owner = ownerOf(S.Owners, U))
-        Out->Owners[U.Id] = {*Owner, *Owner == S.C.Options.Id
-                                         ? std::string()
-                                         : translated(S.C.Options,
-                                                      peerAddress(S, *Owner))};
+        Out->Owners[U.Id] = {
+            *Owner, *Owner == S.C.Options.Id
+                        ? std::string()
+                        : translated(S.C.Options, peerAddress(S, *Owner))};
       auto Since = S.LeavingSince.find(U.Id);
       if (Since != S.LeavingSince.end() &&
           (!isPrimary(S, D.Name, U.Id) ||
--- a/packages/proxy/src/grpcplatform.cpp
+++ b/packages/proxy/src/grpcplatform.cpp
@@ -75,9 +75,8 @@
 void swap(PlatformClient &Client, const PlatformEntry &Entry,
           std::uint64_t ExpectedRevision, std::uint64_t Lease, Duration Timeout,
           PlatformReplyHandler Done) {
-  auto Call =
-      makeCall<pb::CompareAndSwapRequest, pb::CompareAndSwapAnswer>(Client,
-                                                                    Timeout);
+  auto Call = makeCall<pb::CompareAndSwapRequest, pb::CompareAndSwapAnswer>(
+      Client, Timeout);
   Call->In.set_key(Entry.Key);
   Call->In.set_value(Entry.Value);
   Call->In.set_expected_revision(ExpectedRevision);
@@ -214,8 +213,7 @@
 }
 
 const bool Registered = Registry<PlatformAdapter>::add(
-    "grpc",
-    {connectPlatform, get, compareAndSwap, watch, listHosts});
+    "grpc", {connectPlatform, get, compareAndSwap, watch, listHosts});
 
 } // namespace
 } // namespace detail
--- a/packages/proxy/src/operatorplans.cpp
+++ b/packages/proxy/src/operatorplans.cpp
@@ -17,9 +17,8 @@
 PlatformReply get(const OperatorContext &C, const std::string &Key) {
   auto Promise = std::make_shared<std::promise<PlatformReply>>();
   auto Future = Promise->get_future();
-  C.Platform->Get(
-      *C.PlatformConnection, Key, OperatorPlatformTimeout,
-      [Promise](const PlatformReply &R) { Promise->set_value(R); });
+  C.Platform->Get(*C.PlatformConnection, Key, OperatorPlatformTimeout,
+                  [Promise](const PlatformReply &R) { Promise->set_value(R); });
   return Future.get();
 }
 
@@ -150,9 +149,9 @@
                    "base version " + std::to_string(Wire.base_version()) +
                        ", present version " +
                        std::to_string(Stored.Wire.version()));
-  auto A = answer(operators::v1::CONFIRM_OUTCOME_CONFLICT,
-                  Stored.Wire.version(),
-                  "another configuration was accepted first");
+  auto A =
+      answer(operators::v1::CONFIRM_OUTCOME_CONFLICT, Stored.Wire.version(),
+             "another configuration was accepted first");
   auto P = kernelPlan(Wire);
   if (!P || !Stored.Value.ok())
     return A;
--- a/packages/proxy/src/operatortimeline.cpp
+++ b/packages/proxy/src/operatortimeline.cpp
@@ -51,8 +51,8 @@
   std::int64_t Sent = C.Time->wallMicros();
   C.Peers->request(
       Address, std::move(M), TimelineTimeout,
-      [Promise, Proxy, Sent, Time = C.Time](
-          PeerCode Code, const peer::v1::PeerMessage &Answer) {
+      [Promise, Proxy, Sent,
+       Time = C.Time](PeerCode Code, const peer::v1::PeerMessage &Answer) {
         Part P;
         P.Proxy = Proxy;
         P.Reached = Code == PeerCode::Ok && Answer.has_timeline_part();
@@ -114,8 +114,7 @@
   std::vector<std::future<detail::Part>> Pending;
   if (!Request.local())
     for (const auto &Peer : Context.Snapshots->load()->Peers)
-      Pending.push_back(
-          detail::ask(Context, Peer.first, Peer.second, Request));
+      Pending.push_back(detail::ask(Context, Peer.first, Peer.second, Request));
   detail::Part Own;
   Own.Proxy = Context.Options.Id;
   Own.Reached = true;
--- a/packages/proxy/src/process.cpp
+++ b/packages/proxy/src/process.cpp
@@ -80,12 +80,12 @@
   // Must be higher than in any earlier run with the same id.
   auto Incarnation = std::make_shared<std::atomic<std::uint64_t>>(
       static_cast<std::uint64_t>(P.Time->wallMicros() / 1000));
-  P.Peers = ZmqPeers::create(
-      {{P.Options.Fleet, P.Options.Id, P.Options.PeerListen},
-       P.Time,
-       P.Events,
-       P.Meters,
-       Incarnation});
+  P.Peers =
+      ZmqPeers::create({{P.Options.Fleet, P.Options.Id, P.Options.PeerListen},
+                        P.Time,
+                        P.Events,
+                        P.Meters,
+                        Incarnation});
   ControlContext C;
   C.Options = P.Options;
   C.Time = P.Time;
--- a/packages/proxy/src/zmqpeers.cpp
+++ b/packages/proxy/src/zmqpeers.cpp
@@ -231,8 +231,8 @@
     std::string Bytes = R.Message.SerializeAsString();
     // An unknown route or a full pipe loses the answer; the requester times
     // out.
-    if (Router.send(zmq::buffer(R.Route), zmq::send_flags::sndmore |
-                                              zmq::send_flags::dontwait))
+    if (Router.send(zmq::buffer(R.Route),
+                    zmq::send_flags::sndmore | zmq::send_flags::dontwait))
       Router.send(zmq::buffer(Bytes), zmq::send_flags::dontwait);
   }
 
