Destroy upstream channels outside gRPC callbacks

Cause: gRPC joins its callback threads when the last channel is destroyed. A stream that released its channel inside OnDone made such a thread join itself, and the process aborted ("assertion failed: prior > 0"). Ruled out: the adapter's own reference counting, by the backtrace in the library's queue. Change: streams are deleted on the timer thread.

--- a/packages/proxy/src/grpcupstream.cpp
+++ b/packages/proxy/src/grpcupstream.cpp
@@ -293,7 +293,12 @@
 std::shared_ptr<UpstreamConnection> connect(const UpstreamTarget &Target,
                                             Duration Timeout,
                                             UpstreamReplyHandler Opened) {
-  auto Stream = std::make_shared<GrpcStream>(Target.Address);
+  // gRPC joins its callback threads when the last channel is destroyed, so a
+  // channel that a callback destroyed made a thread join itself and abort.
+  std::shared_ptr<GrpcStream> Stream(
+      new GrpcStream(Target.Address), [](GrpcStream *S) {
+        deadlines().after(Duration::zero(), [S] { delete S; });
+      });
   auto Connection = std::make_shared<GrpcConnection>(Stream);
   Stream->open(Target, Timeout, std::move(Opened));
   return Connection;
