--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -22,7 +22,6 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-constexpr milliseconds StartTimeout = 10s;
 constexpr unsigned FirstPort = 20000;
 constexpr std::uint64_t InitialTerm = 1;
 
@@ -33,21 +32,6 @@
   return Text.str();
 }
 
-template <typename Stub, typename Request, typename Answer>
-Answer call(const std::string &Address,
-            grpc::Status (Stub::*Method)(grpc::ClientContext *, const Request &,
-                                         Answer *),
-            std::unique_ptr<Stub> Client, const Request &In) {
-  grpc::ClientContext Context;
-  Context.set_wait_for_ready(true);
-  Context.set_deadline(std::chrono::system_clock::now() + 5s);
-  Answer Out;
-  grpc::Status S = (Client.get()->*Method)(&Context, In, &Out);
-  if (!S.ok())
-    throw std::runtime_error(Address + ": " + S.error_message());
-  return Out;
-}
-
 } // namespace
 
 config::v1::Configuration
@@ -91,13 +75,16 @@
   return C;
 }
 
-config::v1::Configuration exampleConfiguration(const std::string &Name) {
+config::v1::Configuration exampleConfiguration(const std::string &Name,
+                                               int Databases) {
   std::string Path =
       std::string(EELGRASSLOOM_SOURCE_DIR) + "/examples/" + Name + ".json";
   config::v1::Configuration C;
   auto S = google::protobuf::util::JsonStringToMessage(readFile(Path), &C);
   if (!S.ok())
     throw std::runtime_error(Path + ": " + S.ToString());
+  while (C.databases_size() > Databases)
+    C.mutable_databases()->RemoveLast();
   return C;
 }
 
@@ -112,6 +99,20 @@
                                    Arguments);
 }
 
+standin::v1::LinkFilter linksBetween(const std::string &DomainA,
+                                     const std::string &DomainB) {
+  standin::v1::LinkFilter Filter;
+  Filter.set_domain_a(DomainA);
+  Filter.set_domain_b(DomainB);
+  return Filter;
+}
+
+standin::v1::LinkFilter linksTo(const std::string &Address) {
+  standin::v1::LinkFilter Filter;
+  Filter.set_target(Address);
+  return Filter;
+}
+
 bool eventually(milliseconds Timeout, const std::function<bool()> &Condition) {
   auto Deadline = steady_clock::now() + Timeout;
   while (!Condition()) {
@@ -149,6 +150,9 @@
       for (const auto &Up : Database.upstreams())
         startUpstream(Up.id());
     countPlatformCalls();
+    for (const auto &Database : T.Config.databases())
+      for (const auto &Up : Database.upstreams())
+        configure(Up.id());
     if (T.Configured)
       writeConfiguration();
     for (const ProxySpec &P : T.Proxies)
@@ -233,15 +237,7 @@
   File.close();
   run("network", {STANDIN_NETWORK, "--listen=" + Addresses.at("network"),
                   "--links=" + Path});
-  awaitAnswer("network", [&] {
-    grpc::ClientContext Context;
-    standin::v1::CutRequest Request;
-    Request.mutable_links()->set_target("none");
-    standin::v1::NetworkState State;
-    return standin::v1::NetworkControl::NewStub(
-               makeChannel(Addresses.at("network")))
-        ->SetCut(&Context, Request, &State);
-  });
+  setCut(linksTo("none"), false);
 }
 
 std::string Fleet::addressMap(const std::string &FailureDomain) const {
@@ -260,20 +256,6 @@
   throw std::runtime_error("unknown upstream " + Id);
 }
 
-void Fleet::awaitAnswer(const std::string &Name,
-                        const std::function<grpc::Status()> &Call) {
-  bool Ended = false;
-  bool Answered = eventually(StartTimeout, [&] {
-    if (Call().ok())
-      return true;
-    Ended = wait(Name, 0ms) >= 0;
-    return Ended;
-  });
-  if (!Answered || Ended)
-    throw std::runtime_error(
-        Name + " does not start: " + readFile(Directory + "/" + Name + ".log"));
-}
-
 void Fleet::startUpstream(const std::string &Id) {
   const config::v1::Upstream &Up = upstream(Id);
   std::string Primary;
@@ -318,9 +300,8 @@
   platform::v1::CompareAndSwapRequest Request;
   Request.set_key(Key);
   Request.set_value(Value);
-  auto Answer = call(
-      platformAddress(), &platform::v1::KeyValue::Stub::CompareAndSwap,
-      platform::v1::KeyValue::NewStub(makeChannel(platformAddress())), Request);
+  auto Answer = call<platform::v1::KeyValue>(
+      "platform", &platform::v1::KeyValue::Stub::CompareAndSwap, Request);
   if (!Answer.swapped())
     throw std::runtime_error(Key + " is already set");
 }
@@ -367,13 +348,7 @@
       if (wait(P.Id, 0ms) >= 0)
         throw std::runtime_error(
             P.Id + " ended: " + readFile(Directory + "/" + P.Id + ".log"));
-      grpc::ClientContext Context;
-      Context.set_deadline(std::chrono::system_clock::now() + 1s);
-      operators::v1::StatusAnswer Answer;
-      auto Stub =
-          operators::v1::Operator::NewStub(makeChannel(Addresses.at(P.Id)));
-      if (!Stub->Status(&Context, {}, &Answer).ok() ||
-          Answer.configuration_version() == 0)
+      if (proxyStatus(P.Id).configuration_version() == 0)
         return false;
     }
     return true;
@@ -386,27 +361,10 @@
   return It == Links.end() ? Address : It->second;
 }
 
-std::string Fleet::metricsAddress(const std::string &Id) const {
-  return Addresses.at(Id + "/metrics");
-}
-
-std::string Fleet::upstreamAddress(const std::string &Id) const {
-  return Addresses.at(Id);
-}
-
-standin::v1::UpstreamState
-Fleet::configure(const std::string &Upstream,
-                 const standin::v1::UpstreamSettings &Settings) {
-  using Control = standin::v1::UpstreamControl;
-  std::string Address = upstreamAddress(Upstream);
-  return call(Address, &Control::Stub::Configure,
-              Control::NewStub(makeChannel(Address)), Settings);
-}
-
 std::vector<standin::v1::LogEntry> Fleet::log(const std::string &Upstream) {
   grpc::ClientContext Context;
-  auto Stub = standin::v1::UpstreamControl::NewStub(
-      makeChannel(upstreamAddress(Upstream)));
+  auto Stub =
+      standin::v1::UpstreamControl::NewStub(makeChannel(address(Upstream)));
   auto Reader = Stub->Log(&Context, {});
   std::vector<standin::v1::LogEntry> Log;
   for (standin::v1::LogEntry Entry; Reader->Read(&Entry);)
@@ -416,62 +374,49 @@
   return Log;
 }
 
+standin::v1::UpstreamState
+Fleet::configure(const std::string &Upstream,
+                 const standin::v1::UpstreamSettings &Settings) {
+  using Control = standin::v1::UpstreamControl;
+  return call<Control>(Upstream, &Control::Stub::Configure, Settings);
+}
+
 standin::v1::PlatformCounters
 Fleet::setFaults(const standin::v1::PlatformFaults &Faults) {
   using Control = standin::v1::PlatformControl;
-  return call(platformAddress(), &Control::Stub::SetFaults,
-              Control::NewStub(makeChannel(platformAddress())), Faults);
+  return call<Control>("platform", &Control::Stub::SetFaults, Faults);
 }
 
-standin::v1::PlatformCounters Fleet::countPlatformCalls() {
-  using Control = standin::v1::PlatformControl;
-  return call(platformAddress(), &Control::Stub::Count,
-              Control::NewStub(makeChannel(platformAddress())),
-              standin::v1::CountRequest());
+operators::v1::StatusAnswer Fleet::proxyStatus(const std::string &Id) {
+  using operators::v1::Operator;
+  return call<Operator>(Id, &Operator::Stub::Status,
+                        operators::v1::StatusRequest());
 }
 
-void Fleet::setHosts(const standin::v1::HostsRequest &Hosts) {
+standin::v1::PlatformCounters Fleet::countPlatformCalls() {
   using Control = standin::v1::PlatformControl;
-  call(platformAddress(), &Control::Stub::SetHosts,
-       Control::NewStub(makeChannel(platformAddress())), Hosts);
+  return call<Control>("platform", &Control::Stub::Count,
+                       standin::v1::CountRequest());
 }
 
-void Fleet::setCut(const std::string &DomainA, const std::string &DomainB,
-                   bool Cut) {
+void Fleet::setCut(const standin::v1::LinkFilter &Filter, bool Cut) {
   using Control = standin::v1::NetworkControl;
   standin::v1::CutRequest Request;
-  Request.mutable_links()->set_domain_a(DomainA);
-  Request.mutable_links()->set_domain_b(DomainB);
+  *Request.mutable_links() = Filter;
   Request.set_cut(Cut);
-  call(Addresses.at("network"), &Control::Stub::SetCut,
-       Control::NewStub(makeChannel(Addresses.at("network"))), Request);
+  call<Control>("network", &Control::Stub::SetCut, Request);
 }
 
 void Fleet::setCutTo(const std::string &Name, bool Cut) {
-  using Control = standin::v1::NetworkControl;
-  for (const char *Part : {"", "/peer"}) {
-    auto It = Addresses.find(Name + Part);
-    if (It == Addresses.end())
-      continue;
-    standin::v1::CutRequest Request;
-    Request.mutable_links()->set_target(It->second);
-    Request.set_cut(Cut);
-    call(Addresses.at("network"), &Control::Stub::SetCut,
-         Control::NewStub(makeChannel(Addresses.at("network"))), Request);
-  }
+  for (const char *Part : {"", "/peer"})
+    if (auto It = Addresses.find(Name + Part); It != Addresses.end())
+      setCut(linksTo(It->second), Cut);
 }
 
 standin::v1::NetworkState
 Fleet::hangConnections(const standin::v1::LinkFilter &Filter) {
   using Control = standin::v1::NetworkControl;
-  return call(Addresses.at("network"), &Control::Stub::HangConnections,
-              Control::NewStub(makeChannel(Addresses.at("network"))), Filter);
-}
-
-operators::v1::StatusAnswer Fleet::proxyStatus(const std::string &Id) {
-  return call(Addresses.at(Id), &operators::v1::Operator::Stub::Status,
-              operators::v1::Operator::NewStub(makeChannel(Addresses.at(Id))),
-              operators::v1::StatusRequest());
+  return call<Control>("network", &Control::Stub::HangConnections, Filter);
 }
 
 } // namespace eelgrassloom::fleet
