--- a/packages/kernel/src/staleness.cpp
+++ b/packages/kernel/src/staleness.cpp
@@ -9,7 +9,7 @@
   std::size_t Half = Samples.size() / 2;
   std::size_t Kept = 0;
   for (std::size_t I = 0; I < Samples.size(); ++I)
-    if (I >= Half || I % 2 == 0)
+    if (I >= Half || I % 2 == 1)
       Samples[Kept++] = Samples[I];
   Samples.resize(Kept);
 }
@@ -67,6 +67,15 @@
   });
 }
 
+/// Null if the log contains no confirmed sample.
+const PrimarySample *newestContained(const StalenessState &S,
+                                     const History &Line, Position Applied) {
+  for (auto P = S.Samples.rbegin(); P != S.Samples.rend(); ++P)
+    if (P->Confirmed && contains(Line, Applied, P->Committed))
+      return &*P;
+  return nullptr;
+}
+
 } // namespace detail
 
 void observe(StalenessState &S, const StatusObservation &O) {
@@ -80,10 +89,16 @@
 
 Duration stalenessBound(const StalenessState &S, const History &Line,
                         Position Applied, Instant Now) {
-  for (auto P = S.Samples.rbegin(); P != S.Samples.rend(); ++P)
-    if (P->Confirmed && contains(Line, Applied, P->Committed))
-      return std::max(Duration::zero(), Now - P->At);
-  return Duration::max();
+  const PrimarySample *P = detail::newestContained(S, Line, Applied);
+  return P ? std::max(Duration::zero(), Now - P->At) : Duration::max();
+}
+
+Duration estimatedLag(const StalenessState &S, const History &Line,
+                      Position Applied) {
+  const PrimarySample *P = detail::newestContained(S, Line, Applied);
+  auto Newest = std::find_if(S.Samples.rbegin(), S.Samples.rend(),
+                             [](const auto &X) { return X.Confirmed; });
+  return P ? Newest->At - P->At : Duration::zero();
 }
 
 } // namespace eelgrassloom
--- a/tests/standin/src/database.h
+++ b/tests/standin/src/database.h
@@ -87,7 +87,6 @@
   void append(const v1::LogEntry &Entry);
   void cut(std::uint64_t Index);
   void storeTerms();
-  void record(const v1::JournalRecord &Record) const;
 
   std::string Id;
   std::function<void(const v1::JournalRecord &)> Journal;
