--- /dev/null
+++ b/packages/ctl/test/print-test.cpp
@@ -0,0 +1,34 @@
+#include "ctl/print.h"
+#include <doctest/doctest.h>
+#include <sstream>
+
+using namespace eelgrassloom;
+
+// Guards against a conflict report without the changes that caused it.
+TEST_CASE("a conflict shows what was accepted") {
+  operators::v1::ConfirmAnswer A;
+  A.set_message("conflict");
+  auto *C = A.add_since();
+  C->set_place("classes/orders");
+  C->set_after("priority urgent");
+  std::ostringstream Out;
+  print(Out, A);
+  CHECK(Out.str().find("classes/orders") != std::string::npos);
+}
+
+// Guards against events that appear in the wrong order of time.
+TEST_CASE("timeline times are on the clock of the answering proxy") {
+  operators::v1::TimelineAnswer A;
+  auto *E = A.add_events();
+  E->set_proxy("p2");
+  E->set_number(1);
+  E->set_at_us(3000000);
+  auto *C = A.add_clocks();
+  C->set_proxy("p2");
+  C->set_offset_us(1000000);
+  A.add_unreachable("p3");
+  std::ostringstream Out;
+  print(Out, A);
+  CHECK(Out.str().find("1970-01-01 00:00:02.000000Z") != std::string::npos);
+  CHECK(Out.str().find("unreachable: p3") != std::string::npos);
+}
