--- /dev/null
+++ b/tests/fleet/scenario-test.cpp
@@ -0,0 +1,198 @@
+#include "scenario.h"
+#include <csignal>
+#include <cstdlib>
+#include <doctest/doctest.h>
+#include <thread>
+
+using namespace eelgrassloom;
+using namespace eelgrassloom::fleet;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::uint64_t seed() {
+  const char *Text = std::getenv("EELGRASSLOOM_SEED");
+  return Text ? std::strtoull(Text, nullptr, 10) : 1;
+}
+
+/// Lets the sessions run undisturbed before a fault.
+void warmUp(std::mt19937_64 &Random) {
+  std::this_thread::sleep_for(1s + std::chrono::milliseconds(Random() % 500));
+}
+
+void cutDomain(Fleet &F, const std::string &Domain, bool Cut) {
+  for (const char *Other : {"d1", "d2", "d3", "d4", PlatformDomain})
+    if (Domain != Other) {
+      standin::v1::LinkFilter Links;
+      Links.set_domain_a(Domain);
+      Links.set_domain_b(Other);
+      F.setCut(Links, Cut);
+    }
+}
+
+std::string failureDomainOf(Fleet &F, const std::string &Upstream) {
+  for (const auto &U : F.topology().Config.databases(0).upstreams())
+    if (U.id() == Upstream)
+      return U.failure_domain();
+  return "";
+}
+
+/// Runs a scenario and checks all guarantees, and that the fleet serves again.
+void check(const FaultSchedule &Faults) {
+  ScenarioOptions Options;
+  Options.Seed = seed();
+  Fleet F(scenarioTopology());
+  REQUIRE(F.awaitServing(10s));
+  std::int64_t Healed = 0;
+  FullHistory H = runScenario(F, Options, [&](Fleet &Target, auto &Random) {
+    warmUp(Random);
+    Faults(Target, Random);
+    Healed = steadyMicros();
+  });
+  for (const std::string &V : checkAll(H))
+    FAIL_CHECK(V << " (seed " << Options.Seed << ")");
+  std::size_t Count[5] = {};
+  for (const Operation &Op : H.Operations)
+    ++Count[static_cast<std::size_t>(Op.Outcome)];
+  MESSAGE("ok " << Count[0] << ", refused " << Count[1] << ", unknown "
+                << Count[2] << ", failed " << Count[3] << ", position lost "
+                << Count[4] << ", terms " << H.Raises.size());
+  CHECK(acknowledgedSince(H, Healed) > 0);
+}
+
+} // namespace
+
+// Guards against violations without any fault.
+TEST_CASE("no fault") {
+  check([](Fleet &, auto &) {});
+}
+
+// Guards against losing acknowledged urgent writes with their primary.
+TEST_CASE("primary is killed and restarted") {
+  check([](Fleet &F, auto &) {
+    std::string Primary = currentPrimary(F);
+    F.kill(Primary);
+    std::this_thread::sleep_for(3s);
+    F.startUpstream(Primary);
+  });
+}
+
+// Guards against acknowledgements of a replaced primary that resumes.
+TEST_CASE("primary is paused beyond the tolerance and resumed") {
+  check([](Fleet &F, auto &) {
+    std::string Primary = currentPrimary(F);
+    F.signal(Primary, SIGSTOP);
+    std::this_thread::sleep_for(3s);
+    F.signal(Primary, SIGCONT);
+  });
+}
+
+// Guards against two primaries that both acknowledge writes.
+TEST_CASE("failure domain of the primary is partitioned") {
+  check([](Fleet &F, auto &) {
+    std::string Domain = failureDomainOf(F, currentPrimary(F));
+    cutDomain(F, Domain, true);
+    std::this_thread::sleep_for(3s);
+    cutDomain(F, Domain, false);
+  });
+}
+
+// Guards against duplicates and lost transactions when proxies crash.
+TEST_CASE("proxies are killed and restarted") {
+  check([](Fleet &F, auto &Random) {
+    for (int I = 0; I < 3; ++I) {
+      std::string Proxy = "p" + std::to_string(1 + Random() % 8);
+      F.kill(Proxy);
+      std::this_thread::sleep_for(700ms);
+      F.startProxy(Proxy);
+    }
+  });
+}
+
+// Guards against a resumed proxy that acts on old state.
+TEST_CASE("a proxy is paused and resumed while the primary changes") {
+  check([](Fleet &F, auto &Random) {
+    std::string Proxy = "p" + std::to_string(1 + Random() % 8);
+    std::string Primary = currentPrimary(F);
+    F.signal(Proxy, SIGSTOP);
+    F.kill(Primary);
+    std::this_thread::sleep_for(3s);
+    F.signal(Proxy, SIGCONT);
+    F.startUpstream(Primary);
+  });
+}
+
+// Guards against depending on the platform for serving.
+TEST_CASE("platform outage") {
+  check([](Fleet &F, auto &) {
+    standin::v1::PlatformFaults Down;
+    Down.set_outage(standin::v1::OUTAGE_SILENT);
+    F.setFaults(Down);
+    std::this_thread::sleep_for(3s);
+    F.setFaults({});
+  });
+}
+
+// Guards against two winners of a term after lost responses.
+TEST_CASE("platform responses are lost during a failover") {
+  check([](Fleet &F, auto &) {
+    standin::v1::PlatformFaults Lossy;
+    Lossy.set_drop_swap_responses(2);
+    F.setFaults(Lossy);
+    std::string Primary = currentPrimary(F);
+    F.kill(Primary);
+    std::this_thread::sleep_for(4s);
+    F.setFaults({});
+    F.startUpstream(Primary);
+  });
+}
+
+// Guards against stale reads from a replica that is far behind.
+TEST_CASE("replicas far behind") {
+  check([](Fleet &F, auto &) {
+    standin::v1::UpstreamSettings Lag;
+    Lag.set_lag_ms(1500);
+    F.configure("db1-3", Lag);
+    std::this_thread::sleep_for(3s);
+    Lag.set_lag_ms(5);
+    F.configure("db1-3", Lag);
+  });
+}
+
+// Guards against mixed answers when connections become unresponsive.
+TEST_CASE("connections become unresponsive") {
+  check([](Fleet &F, auto &) {
+    for (int I = 0; I < 3; ++I) {
+      F.hangConnections({});
+      std::this_thread::sleep_for(1s);
+    }
+  });
+}
+
+// Guards against faults that are only handled one at a time.
+TEST_CASE("two faults at once") {
+  check([](Fleet &F, auto &Random) {
+    std::string Primary = currentPrimary(F);
+    std::string Domain = "d" + std::to_string(1 + Random() % 4);
+    std::string Proxy = "p" + std::to_string(1 + Random() % 8);
+    F.signal(Primary, SIGSTOP);
+    cutDomain(F, Domain, true);
+    std::this_thread::sleep_for(1s);
+    F.signal(Proxy, SIGSTOP);
+    std::this_thread::sleep_for(1s);
+    F.signal(Primary, SIGCONT);
+    F.signal(Proxy, SIGCONT);
+    cutDomain(F, Domain, false);
+  });
+}
+
+// Guards against requests that a graceful shutdown interrupts.
+TEST_CASE("graceful shutdown under load") {
+  check([](Fleet &F, auto &) {
+    for (const char *Proxy : {"p1", "p2"}) {
+      F.signal(Proxy, SIGTERM);
+      CHECK(F.wait(Proxy, 10s) == 0);
+      F.startProxy(Proxy);
+    }
+  });
+}
--- /dev/null
+++ b/tests/fleet/scenario.cpp
@@ -0,0 +1,296 @@
+#include "scenario.h"
+#include "client.h"
+#include "kernel/token.h"
+#include <atomic>
+#include <thread>
+
+namespace eelgrassloom::fleet {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string DatabaseName = "db1";
+constexpr unsigned SharedKeys = 3;
+constexpr unsigned MaxTries = 3;
+constexpr std::int64_t BackgroundBoundMicros = 5'000'000;
+constexpr unsigned DeadlineMs = 1500;
+
+/// One session with its own thread.
+class SessionRun {
+public:
+  SessionRun(Fleet &F, unsigned Id, std::uint64_t Seed, Recorder &Into)
+      : F(F), Id(Id), Random(Seed * 1000 + Id), Into(Into),
+        Session(randomProxy()) {}
+
+  void run(std::chrono::steady_clock::time_point Until) {
+    while (std::chrono::steady_clock::now() < Until) {
+      Session.moveTo(randomProxy());
+      unsigned Choice = Random() % 100;
+      if (Choice < 40)
+        append(Choice < 28 ? "urgent" : "normal");
+      else if (Choice < 85)
+        read(Choice < 75 ? "background" : "normal");
+      else if (Choice < 95)
+        transaction();
+      else
+        failingWrite();
+      std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 15));
+    }
+  }
+
+private:
+  std::string randomProxy() {
+    const auto &Proxies = F.topology().Proxies;
+    return F.proxyAddress(Proxies[Random() % Proxies.size()].Id);
+  }
+
+  std::string randomKey() {
+    return Random() % 2 ? "s" + std::to_string(Id)
+                        : "k" + std::to_string(Random() % SharedKeys);
+  }
+
+  std::string newValue() {
+    return std::to_string(Id) + "-" + std::to_string(++Values);
+  }
+
+  Operation operation(Action Kind, const std::string &Class, std::string Key,
+                      std::string Value) {
+    Operation Op;
+    Op.Session = Id;
+    Op.Kind = Kind;
+    Op.Database = DatabaseName;
+    Op.Key = std::move(Key);
+    Op.Value = std::move(Value);
+    Op.Replicated = Class == "urgent";
+    if (Class == "background")
+      Op.StalenessMicros = BackgroundBoundMicros;
+    return Op;
+  }
+
+  /// Sends the request and fills in the answer.
+  caller::v1::RunAnswer send(Operation &Op, caller::v1::RunRequest Request) {
+    Request.set_deadline_ms(DeadlineMs);
+    Op.RequestId = Request.request_id();
+    Op.InvokedMicros = steadyMicros();
+    auto Answer = Session.run(Request);
+    Op.ReturnedMicros = steadyMicros();
+    Op.AnsweredId = Answer.request_id();
+    Op.Outcome = verdictOf(Answer);
+    Value V = valueOf(Answer.result());
+    Op.List.assign(V.list().begin(), V.list().end());
+    if (auto Token = decode(Session.Token); Token.ok())
+      Op.At = positionOf(Token.value(), DatabaseName);
+    // The session starts again without the lost position.
+    if (Op.Outcome == Verdict::PositionLost)
+      Session.Token.clear();
+    return Answer;
+  }
+
+  static Verdict verdictOf(const caller::v1::RunAnswer &A) {
+    if (A.reason() == caller::v1::REASON_POSITION_LOST)
+      return Verdict::PositionLost;
+    switch (A.outcome()) {
+    case caller::v1::OUTCOME_OK:
+      return Verdict::Ok;
+    case caller::v1::OUTCOME_REFUSED_NOT_RUN:
+      return Verdict::Refused;
+    case caller::v1::OUTCOME_FAILED:
+      return Verdict::Failed;
+    default:
+      return Verdict::Unknown;
+    }
+  }
+
+  /// A non-idempotent append, repeated with the same id at other proxies.
+  void append(const std::string &Class) {
+    Operation Op = operation(Action::Append, Class, randomKey(), newValue());
+    auto Request =
+        request(DatabaseName, Class, fleet::append(Op.Key, Op.Value));
+    Request.set_non_idempotent(true);
+    for (unsigned Try = 0; Try < MaxTries; ++Try) {
+      send(Op, Request);
+      Into.add(Op);
+      if (Op.Outcome != Verdict::Unknown && Op.Outcome != Verdict::Refused)
+        return;
+      Session.moveTo(randomProxy());
+      std::this_thread::sleep_for(std::chrono::milliseconds(Random() % 50));
+    }
+  }
+
+  void read(const std::string &Class) {
+    Operation Op = operation(Action::Read, Class, randomKey(), "");
+    send(Op, request(DatabaseName, Class, get(Op.Key)));
+    Into.add(Op);
+  }
+
+  void failingWrite() {
+    Operation Op =
+        operation(Action::FailingWrite, "normal", randomKey(), newValue());
+    standin::v1::Statement S;
+    S.set_key(Op.Key);
+    S.set_fail("constraint violated");
+    send(Op, request(DatabaseName, "normal", S));
+    Into.add(Op);
+  }
+
+  /// Two appends that commit together, or none.
+  void transaction() {
+    std::string Name = "t" + newValue();
+    Operation Begin = operation(Action::Read, "urgent", "", "");
+    auto Begun =
+        send(Begin, step(DatabaseName, "urgent", caller::v1::STEP_BEGIN));
+    if (Begun.outcome() != caller::v1::OUTCOME_OK)
+      return;
+    std::vector<Operation> Ops;
+    bool Ok = true;
+    for (unsigned I = 0; I < 2 && Ok; ++I) {
+      Operation Op =
+          operation(Action::Append, "urgent", randomKey(), newValue());
+      Op.Transaction = Name;
+      auto Request =
+          request(DatabaseName, "urgent", fleet::append(Op.Key, Op.Value));
+      Request.set_transaction(Begun.transaction());
+      Session.moveTo(randomProxy());
+      send(Op, Request);
+      Ok = Op.Outcome == Verdict::Ok;
+      Ops.push_back(Op);
+    }
+    Operation End = operation(Action::Read, "urgent", "", "");
+    auto Commit = step(DatabaseName, "urgent",
+                       Ok ? caller::v1::STEP_COMMIT : caller::v1::STEP_ROLLBACK,
+                       Begun.transaction());
+    Commit.set_request_id("commit-" + Name);
+    Commit.set_issued_at_ms(wallClockMs());
+    Commit.set_non_idempotent(true);
+    send(End, Commit);
+    for (Operation &Op : Ops) {
+      Op.Outcome = Ok ? End.Outcome : Verdict::Failed;
+      Op.ReturnedMicros = End.ReturnedMicros;
+      Op.At = End.At;
+      Into.add(Op);
+    }
+  }
+
+  using Value = standin::v1::Value;
+  Fleet &F;
+  unsigned Id;
+  std::mt19937_64 Random;
+  Recorder &Into;
+  CallerSession Session;
+  unsigned Values = 0;
+};
+
+/// Samples the configuration version of every proxy until told to stop.
+void sampleVersions(Fleet &F, const std::atomic<bool> &Stop,
+                    std::vector<VersionSample> &Into) {
+  while (!Stop) {
+    for (const auto &P : F.topology().Proxies) {
+      try {
+        Into.push_back({P.Id + "/" + std::to_string(F.pid(P.Id)),
+                        F.proxyStatus(P.Id).configuration_version()});
+      } catch (const std::exception &) {
+        // A killed or paused proxy reports nothing.
+      }
+    }
+    std::this_thread::sleep_for(100ms);
+  }
+}
+
+FinalLog finalLog(const std::vector<standin::v1::LogEntry> &Entries,
+                  std::vector<TermRaise> &Raises) {
+  FinalLog Log;
+  Log.Database = DatabaseName;
+  for (const auto &E : Entries) {
+    LogEntry Entry;
+    Entry.At = {E.position().term(), E.position().index()};
+    Entry.RequestId = E.request_id();
+    for (const auto &S : E.statements())
+      if (S.has_append())
+        Entry.Values.push_back(S.append());
+    // The first entry of a term is written after the term was raised.
+    if (E.statements().empty())
+      Raises.push_back({DatabaseName, Entry.At.Term, E.committed_us()});
+    Log.Entries.push_back(std::move(Entry));
+  }
+  return Log;
+}
+
+bool sameLogs(Fleet &F, std::vector<standin::v1::LogEntry> &Entries) {
+  Entries = F.log(DatabaseName + "-1");
+  for (const char *Suffix : {"-2", "-3"}) {
+    auto Other = F.log(DatabaseName + Suffix);
+    if (Other.size() != Entries.size() ||
+        (!Other.empty() && Other.back().SerializeAsString() !=
+                               Entries.back().SerializeAsString()))
+      return false;
+  }
+  return true;
+}
+
+} // namespace
+
+std::int64_t steadyMicros() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Topology scenarioTopology() {
+  Topology T;
+  T.Config = makeConfiguration({"d1", "d2", "d3", "d4"}, 1, 5);
+  for (unsigned I = 0; I < 8; ++I)
+    T.Proxies.push_back(
+        {"p" + std::to_string(I + 1), "d" + std::to_string(1 + I % 4)});
+  T.DomainDelayUs = 1500;
+  return T;
+}
+
+std::string currentPrimary(Fleet &F) {
+  std::uint64_t Term = 0;
+  std::string Primary;
+  for (const auto &P : F.topology().Proxies) {
+    auto Status = F.proxyStatus(P.Id);
+    for (const auto &G : Status.groups())
+      if (G.term() > Term && !G.primary().empty()) {
+        Term = G.term();
+        Primary = G.primary();
+      }
+  }
+  return Primary;
+}
+
+FullHistory runScenario(Fleet &F, const ScenarioOptions &Options,
+                        const FaultSchedule &Faults) {
+  Recorder Into;
+  FullHistory H;
+  std::atomic<bool> Stop{false};
+  auto Until = std::chrono::steady_clock::now() + Options.Run;
+  std::vector<std::thread> Threads;
+  for (unsigned I = 0; I < Options.Sessions; ++I)
+    Threads.emplace_back(
+        [&, I] { SessionRun(F, I + 1, Options.Seed, Into).run(Until); });
+  std::thread Sampler([&] { sampleVersions(F, Stop, H.Versions); });
+  std::mt19937_64 Random(Options.Seed);
+  Faults(F, Random);
+  for (std::thread &T : Threads)
+    T.join();
+  Stop = true;
+  Sampler.join();
+  H.Operations = Into.take();
+
+  std::vector<standin::v1::LogEntry> Entries;
+  if (!eventually(15s, [&] { return sameLogs(F, Entries); }))
+    throw std::runtime_error("the logs of the upstreams did not converge");
+  H.Logs.push_back(finalLog(Entries, H.Raises));
+  return H;
+}
+
+std::size_t acknowledgedSince(const FullHistory &H, std::int64_t FromMicros) {
+  std::size_t Count = 0;
+  for (const Operation &Op : H.Operations)
+    Count += Op.Kind == Action::Append && Op.Outcome == Verdict::Ok &&
+             Op.ReturnedMicros >= FromMicros;
+  return Count;
+}
+
+} // namespace eelgrassloom::fleet
