--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -92,7 +92,8 @@
   void kill(const std::string &Name);
   pid_t pid(const std::string &Name) const;
 
-  /// Waits until every running proxy holds the configuration.
+  /// Waits until every running proxy holds the configuration and knows the
+  /// primary of every database.
   bool awaitServing(std::chrono::milliseconds Timeout);
 
   /// Address as callers dial it, through the relay if there is one.
