Status asks the owners; platform outages end also for proxies without watches

A watcher that holds no platform watch made no further platform call after a failed one, so it would never have taken part in a promotion again. It now reads config until a call succeeds.

--- a/packages/proxy/include/proxy/operators.h
+++ b/packages/proxy/include/proxy/operators.h
@@ -47,6 +47,11 @@
 /// The state as the control thread sees it. Waits for the control thread.
 operators::v1::StatusAnswer currentStatus(const OperatorContext &Context);
 
+/// Replaces what this proxy saw of upstreams by what their owners report.
+/// Upstreams whose owner does not answer in time stay as they are.
+void askOwners(const OperatorContext &Context,
+               operators::v1::StatusAnswer &Answer);
+
 } // namespace eelgrassloom
 
 #endif // EELGRASSLOOM_PROXY_OPERATORS_H
--- a/packages/proxy/src/controlconfig.cpp
+++ b/packages/proxy/src/controlconfig.cpp
@@ -165,6 +165,9 @@
   S.C.Events->record(events::ConfigurationAccepted, {},
                      "version " + std::to_string(C.Version) + " with " +
                          std::to_string(C.Databases.size()) + " databases");
+  // Which hosts run upstreams depends on the configuration.
+  if (const Item *Hosts = find(S.Spread, HostsKey))
+    hostsChanged(S, Item(*Hosts).Value);
 }
 
 void shareConfiguration(ControlState &S) {
@@ -231,7 +234,10 @@
 
 void tickPlatform(ControlState &S) {
   shareConfiguration(S);
-  bool Wanted = S.HoldsWatches || S.Config.Version == 0;
+  // A proxy without watches would otherwise not notice the end of an outage,
+  // and start no promotion.
+  bool Failing = !S.Platform.Reachable || S.Platform.Failures > 0;
+  bool Wanted = S.HoldsWatches || S.Config.Version == 0 || Failing;
   if (Wanted && S.Now >= S.Platform.NextRead)
     readConfiguration(S);
   if (S.HoldsWatches && !S.Platform.Listing && S.Now >= S.Platform.NextList)
--- a/packages/proxy/src/controlio.cpp
+++ b/packages/proxy/src/controlio.cpp
@@ -1,10 +1,16 @@
 #include "controlstate.h"
+#include <algorithm>
 #include <mutex>
 #include <optional>
 
 namespace eelgrassloom::detail {
 namespace {
 
+/// One lost response is not an outage.
+constexpr unsigned OutageFailures = 2;
+/// Interval at which a platform that failed a call is tried again.
+constexpr Duration FailedRetry = std::chrono::milliseconds(500);
+
 /// Marks an exchange that never got a connection.
 UpstreamReply notConnected(const UpstreamReply &Opened) {
   UpstreamReply R = Opened;
@@ -79,7 +85,10 @@
 
 void platformSeen(ControlState &S, bool Ok) {
   PlatformState &P = S.Platform;
-  if (P.Known && P.Reachable == Ok)
+  P.Failures = Ok ? 0 : P.Failures + 1;
+  if (!Ok)
+    P.NextRead = std::min(P.NextRead, S.Now + jittered(S, FailedRetry));
+  if (P.Known && (P.Reachable == Ok || (!Ok && P.Failures < OutageFailures)))
     return;
   bool First = !P.Known;
   P.Known = true;
--- a/packages/proxy/src/controlpeers.cpp
+++ b/packages/proxy/src/controlpeers.cpp
@@ -134,11 +134,8 @@
         A);
   if (!ConfigTouched)
     return;
-  if (auto C = assembled(S)) {
+  if (auto C = assembled(S))
     adoptConfiguration(S, *C);
-    if (const Item *Hosts = find(S.Spread, "hosts"))
-      hostsChanged(S, Item(*Hosts).Value);
-  }
 }
 
 void statusPulled(ControlState &S, const std::string &Database,
--- a/packages/proxy/src/controlstate.h
+++ b/packages/proxy/src/controlstate.h
@@ -32,6 +32,8 @@
   bool Reachable = false;
   /// Some call has ended since the start.
   bool Known = false;
+  /// Failed calls since the last success.
+  unsigned Failures = 0;
   bool Reading = false;
   bool Listing = false;
   Instant NextRead;
@@ -217,9 +219,6 @@
 void publish(ControlState &S);
 operators::v1::StatusAnswer statusAnswer(const ControlState &S);
 bool isLeaving(const ControlState &S, const Upstream &U);
-/// Upstream and its database by id; null if unknown.
-const Upstream *upstreamById(const ControlState &S, const UpstreamId &Id,
-                             std::string *Database);
 
 /// Discards state that is older than a pause of this process.
 void discardAfterPause(ControlState &S);
--- a/packages/proxy/src/controlview.cpp
+++ b/packages/proxy/src/controlview.cpp
@@ -55,6 +55,18 @@
   return It != S.Groups.end() && It->second.Record.Primary == Id;
 }
 
+void updateGauges(const ControlState &S, const Snapshot &Out) {
+  S.C.Meters
+      ->gauge("eelgrassloom_configuration_version",
+              "Version of the configuration in force")
+      .Set(static_cast<double>(Out.Config.Version));
+  S.C.Meters->gauge("eelgrassloom_live_peers", "Other live proxies")
+      .Set(static_cast<double>(Out.Peers.size()));
+  S.C.Meters
+      ->gauge("eelgrassloom_owned_upstreams", "Upstreams that this proxy owns")
+      .Set(static_cast<double>(S.Owned.size()));
+}
+
 void addNotes(const ControlState &S, operators::v1::StatusAnswer &A) {
   if (S.Config.Version == 0)
     A.add_notes("serves nothing: no configuration from the platform or peers");
@@ -141,16 +153,6 @@
          S.LeavingByStatus.contains(U.Id);
 }
 
-const Upstream *upstreamById(const ControlState &S, const UpstreamId &Id,
-                             std::string *Database) {
-  for (const auto &D : S.Config.Databases)
-    if (const Upstream *U = findUpstream(D, Id)) {
-      *Database = D.Name;
-      return U;
-    }
-  return nullptr;
-}
-
 void refreshView(ControlState &S) {
   // Configuring the groups may change the view again.
   for (int Pass = 0; S.ViewDirty && Pass < 3; ++Pass) {
@@ -195,6 +197,7 @@
   }
   for (const ProxyId &Id : livePeers(S.Members))
     Out->Peers[Id] = translated(S.C.Options, peerAddress(S, Id));
+  updateGauges(S, *Out);
   S.C.Snapshots->store(std::move(Out));
   S.SnapshotDirty = false;
   if (S.Path)
@@ -225,7 +228,6 @@
 void discardAfterPause(ControlState &S) {
   S.Seen.clear();
   S.Responders.clear();
-  S.LeavingByStatus.clear();
   for (auto &Entry : S.Probes)
     if (Entry.second.Connection)
       S.C.Upstreams->Close(*Entry.second.Connection);
--- a/packages/proxy/src/operators.cpp
+++ b/packages/proxy/src/operators.cpp
@@ -18,7 +18,10 @@
   grpc::Status Status(grpc::ServerContext * /*Call*/,
                       const pb::StatusRequest * /*Request*/,
                       pb::StatusAnswer *Answer) override {
-    return guarded([&] { *Answer = currentStatus(Context); });
+    return guarded([&] {
+      *Answer = currentStatus(Context);
+      askOwners(Context, *Answer);
+    });
   }
 
   grpc::Status Plan(grpc::ServerContext * /*Call*/, const pb::Intent *Request,
--- /dev/null
+++ b/packages/proxy/src/operatorstatus.cpp
@@ -0,0 +1,63 @@
+#include "proxy/operators.h"
+#include <future>
+#include <map>
+
+namespace eelgrassloom {
+namespace detail {
+namespace {
+
+constexpr Duration OwnerTimeout = std::chrono::milliseconds(500);
+/// Requests of one status command; a fleet has thousands of databases.
+constexpr std::size_t OwnerRequests = 300;
+
+using Report = peer::v1::StatusReport;
+
+std::future<Report> pull(const OperatorContext &C, const std::string &Address,
+                         const std::string &Database) {
+  auto Promise = std::make_shared<std::promise<Report>>();
+  peer::v1::PeerMessage M;
+  M.mutable_status_pull()->set_database(Database);
+  C.Peers->request(
+      Address, std::move(M), OwnerTimeout,
+      [Promise](PeerCode Code, const peer::v1::PeerMessage &Answer) {
+        Promise->set_value(Code == PeerCode::Ok ? Answer.status_report()
+                                                : Report());
+      });
+  return Promise->get_future();
+}
+
+} // namespace
+} // namespace detail
+
+void askOwners(const OperatorContext &Context,
+               operators::v1::StatusAnswer &Answer) {
+  auto Snapshot = Context.Snapshots->load();
+  std::map<std::pair<std::string, std::string>, std::future<detail::Report>>
+      Pending;
+  for (const auto &U : Answer.upstreams()) {
+    auto Owner = Snapshot->Owners.find(U.id());
+    if (Owner == Snapshot->Owners.end() || Owner->second.Address.empty() ||
+        Pending.size() >= detail::OwnerRequests)
+      continue;
+    auto Key = std::make_pair(Owner->second.Address, U.database());
+    if (!Pending.contains(Key))
+      Pending[Key] = detail::pull(Context, Key.first, Key.second);
+  }
+  std::map<std::string, peer::v1::ObservedUpstream> Observed;
+  for (auto &Entry : Pending) {
+    detail::Report R = Entry.second.get();
+    for (auto &U : *R.mutable_upstreams())
+      Observed[U.upstream()] = U;
+  }
+  for (auto &U : *Answer.mutable_upstreams()) {
+    auto It = Observed.find(U.id());
+    if (It == Observed.end())
+      continue;
+    *U.mutable_status() = It->second.status();
+    U.set_suspected(It->second.suspected());
+    U.set_staleness_ms(
+        static_cast<std::int64_t>(It->second.staleness_us() / 1000));
+  }
+}
+
+} // namespace eelgrassloom
