--- a/packages/ctl/src/print.cpp
+++ b/packages/ctl/src/print.cpp
@@ -80,7 +80,9 @@
                     U.has_status() ? position(U.status().applied()) : "-",
                     health(U), std::to_string(U.connections()),
                     std::to_string(U.in_flight()), std::to_string(U.queued()),
-                    std::to_string(U.staleness_ms()) + " ms"});
+                    U.status().role() == types::v1::UPSTREAM_ROLE_PRIMARY
+                        ? "-"
+                        : std::to_string(U.staleness_ms()) + " ms"});
   table(Out, Rows);
 }
 
