--- a/packages/proxy/test/datapath-test.cpp
+++ b/packages/proxy/test/datapath-test.cpp
@@ -289,11 +289,13 @@
 TEST_CASE("an abandoned transaction is rolled back and holds no slot") {
   World W;
   std::vector<std::string> Handles;
+  Handles.reserve(4);
   for (int I = 0; I < 4; ++I)
     Handles.push_back(W.run("p1", W.step(STEP_BEGIN)).transaction());
   expect(W.run("p1", W.step(STEP_BEGIN)), OUTCOME_REFUSED_NOT_RUN,
          REASON_OVERLOADED);
   std::vector<std::shared_ptr<std::optional<RunAnswer>>> Slots;
+  Slots.reserve(5);
   for (int I = 0; I < 5; ++I)
     Slots.push_back(W.start("p1", W.read("r")));
   W.advance(milliseconds(20));
@@ -346,6 +348,7 @@
   World W(OneEach);
   W.server("a").Service = milliseconds(100);
   std::vector<std::shared_ptr<std::optional<RunAnswer>>> Slots;
+  Slots.reserve(100);
   for (int I = 0; I < 100; ++I)
     Slots.push_back(W.start("p2", W.read("r")));
   W.advance(milliseconds(400));
