Fleet: processes outlive the thread that starts them

Change: all forks run on one thread that never ends; a failed start reaps what it started. Before: not covered. Conclusion: scenarios can restart processes from any thread.

--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -2,14 +2,16 @@
 #include "platform.grpc.pb.h"
 #include <algorithm>
 #include <atomic>
-#include <cerrno>
+#include <condition_variable>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <google/protobuf/util/json_util.h>
 #include <grpcpp/grpcpp.h>
+#include <mutex>
 #include <sstream>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -26,6 +28,40 @@
 constexpr unsigned FirstPort = 20000;
 constexpr std::uint64_t InitialTerm = 1;
 
+/// Runs jobs on one thread that never ends: PR_SET_PDEATHSIG would kill a
+/// process when the thread that forked it ends.
+class Spawner {
+public:
+  static pid_t run(std::function<pid_t()> Fork) {
+    static Spawner &S = *new Spawner;
+    std::packaged_task<pid_t()> Job(std::move(Fork));
+    auto Child = Job.get_future();
+    std::lock_guard Running(S.OneAtATime);
+    {
+      std::lock_guard Lock(S.Mutex);
+      S.Next = std::move(Job);
+    }
+    S.Changed.notify_one();
+    return Child.get();
+  }
+
+private:
+  Spawner() {
+    std::thread([this] {
+      while (true) {
+        std::unique_lock Lock(Mutex);
+        Changed.wait(Lock, [this] { return Next.valid(); });
+        std::exchange(Next, {})();
+      }
+    }).detach();
+  }
+
+  std::mutex OneAtATime;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::packaged_task<pid_t()> Next;
+};
+
 std::string readFile(const std::string &Path) {
   std::ifstream In(Path);
   std::ostringstream Text;
@@ -161,13 +197,12 @@
       if (P.Start)
         startProxy(P.Id);
   } catch (...) {
-    for (const auto &Entry : Pids)
-      ::kill(Entry.second, SIGKILL);
+    stopAll();
     throw;
   }
 }
 
-Fleet::~Fleet() {
+void Fleet::stopAll() {
   for (const auto &Entry : Pids)
     ::kill(Entry.second, SIGKILL);
   for (const auto &Entry : Pids)
@@ -177,6 +212,8 @@
     std::filesystem::remove_all(Directory, Ignored);
 }
 
+Fleet::~Fleet() { stopAll(); }
+
 std::string Fleet::newAddress() {
   static std::atomic<unsigned> Port{FirstPort};
   return Ip + ":" + std::to_string(Port++);
@@ -192,8 +229,10 @@
   int Log =
       open(LogPath.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
   pid_t Parent = getpid();
-  pid_t Child = fork();
-  if (Child == 0) {
+  pid_t Child = Spawner::run([&] {
+    pid_t Forked = fork();
+    if (Forked != 0)
+      return Forked;
     // A test that is killed must not leave processes behind.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (getppid() != Parent)
@@ -202,7 +241,7 @@
     dup2(Log, STDERR_FILENO);
     execv(Argv[0], Argv.data());
     _exit(127);
-  }
+  });
   close(Log);
   if (Child < 0)
     throw std::runtime_error("cannot start " + Command[0]);
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -143,6 +143,7 @@
   hangConnections(const standin::v1::LinkFilter &Links);
 
 private:
+  void stopAll();
   void run(const std::string &Name, std::vector<std::string> Command);
   void startNetwork();
   void writeConfiguration();
--- a/tests/fleet/standin-test.cpp
+++ b/tests/fleet/standin-test.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <csignal>
 #include <doctest/doctest.h>
+#include <set>
 #include <thread>
 
 using namespace eelgrassloom;
@@ -231,3 +232,43 @@
            appliedAt(F, "auftraege-3") == Last;
   }));
 }
+
+// Guards against examples that differ from the deployments of the design page.
+TEST_CASE("the examples have the sizes of both deployments") {
+  for (auto [Name, Slots] :
+       {std::pair{"verband-kern", 5U}, std::pair{"inventario-ayuda", 2U}}) {
+    auto Config = exampleConfiguration(Name);
+    std::set<std::string> Domains;
+    REQUIRE(Config.databases_size() == 3);
+    for (const auto &Database : Config.databases()) {
+      CHECK(Database.upstreams_size() == 3);
+      for (const auto &Up : Database.upstreams()) {
+        Domains.insert(Up.failure_domain());
+        CHECK(Up.slots() == Slots);
+        CHECK(Up.connection_cap() == 30);
+      }
+    }
+    CHECK(Domains.size() == 4);
+  }
+}
+
+// Guards against processes that end with the thread that started them, and
+// against a restart of a proxy that fails.
+TEST_CASE("a proxy drains, exits with 0 and starts again on another thread") {
+  Topology T = oneDatabase();
+  T.Proxies = {{"p1", "muenchen"}, {"p2", "nuernberg"}};
+  Fleet F(T);
+  REQUIRE(F.awaitServing(10s));
+  CallerSession Session(F.proxyAddress("p1"));
+  auto Write = request("auftraege", "print-order", append("k", "a"));
+  CHECK(Session.run(Write).outcome() == caller::v1::OUTCOME_OK);
+  F.signal("p1", SIGTERM);
+  CHECK(F.wait("p1", 35s) == 0);
+  std::thread([&] { F.startProxy("p1"); }).join();
+  REQUIRE(F.awaitServing(10s));
+  Session.moveTo(F.proxyAddress("p1"));
+  auto Retry = Session.run(Write);
+  CHECK(Retry.outcome() == caller::v1::OUTCOME_OK);
+  CHECK(Retry.recorded());
+  CHECK(valueOf(Retry.result()).list_size() == 1);
+}
