Inject faults into the simulated database

Cause: the checkers had been shown to fail only on written histories. Change: the simulated database can forget request ids, overstate positions, split transactions, commit what it reports as failed, lose a log suffix in a promotion and swap results; a scenario expects each to be reported.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 scripts/install.sh
 scripts/build.sh build
-exec build/tests/fleet/demo
+exec build/demo/demo
--- a/tests/fleet/fleet.cpp
+++ b/tests/fleet/fleet.cpp
@@ -304,13 +304,19 @@
     for (const auto &Other : Database.upstreams())
       if (Other.id() == Id && Database.upstreams(0).id() != Id)
         Primary = Database.upstreams(0).address();
-  run(Id, {STANDIN_UPSTREAM, "--id=" + Id, "--listen=" + Up.address(),
-           "--term=" + std::to_string(InitialTerm), "--primary=" + Primary,
-           "--slots=" + std::to_string(Up.slots()),
-           "--connection-limit=" + std::to_string(Up.connection_cap()),
-           "--service-us=" + std::to_string(T.ServiceUs),
-           "--journal=" + Directory + "/" + Id + ".journal",
-           "--address-map=" + addressMap(Up.failure_domain())});
+  std::vector<std::string> Command = {
+      STANDIN_UPSTREAM,
+      "--id=" + Id,
+      "--listen=" + Up.address(),
+      "--term=" + std::to_string(InitialTerm),
+      "--primary=" + Primary,
+      "--slots=" + std::to_string(Up.slots()),
+      "--connection-limit=" + std::to_string(Up.connection_cap()),
+      "--service-us=" + std::to_string(T.ServiceUs),
+      "--journal=" + Directory + "/" + Id + ".journal",
+      "--address-map=" + addressMap(Up.failure_domain())};
+  Command.insert(Command.end(), T.UpstreamFlags.begin(), T.UpstreamFlags.end());
+  run(Id, std::move(Command));
 }
 
 void Fleet::startProxy(const std::string &Id) {
--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -35,6 +35,8 @@
   std::vector<ProxySpec> Proxies;
   /// Additional flags of every proxy.
   std::vector<std::string> ProxyFlags;
+  /// Additional flags of every upstream.
+  std::vector<std::string> UpstreamFlags;
   /// One-way delays, applied by the relay.
   unsigned DomainDelayUs = 0;
   unsigned CallerDelayUs = 0;
--- a/tests/fleet/scenario-test.cpp
+++ b/tests/fleet/scenario-test.cpp
@@ -1,3 +1,4 @@
+#include "database.h"
 #include "scenario.h"
 #include <csignal>
 #include <cstdlib>
@@ -37,6 +38,35 @@
   return "";
 }
 
+void killPrimary(Fleet &F, std::mt19937_64 &) {
+  std::string Primary = currentPrimary(F);
+  F.kill(Primary);
+  std::this_thread::sleep_for(3s);
+  F.startUpstream(Primary);
+}
+
+void killProxies(Fleet &F, std::mt19937_64 &Random) {
+  for (int I = 0; I < 3; ++I) {
+    std::string Proxy = "p" + std::to_string(1 + Random() % 8);
+    F.kill(Proxy);
+    std::this_thread::sleep_for(700ms);
+    F.startProxy(Proxy);
+  }
+}
+
+void setLag(Fleet &F, unsigned Millis) {
+  standin::v1::UpstreamSettings Lag;
+  Lag.set_lag_ms(Millis);
+  for (const char *Upstream : {"db1-2", "db1-3"})
+    F.configure(Upstream, Lag);
+}
+
+void lagBehind(Fleet &F, std::mt19937_64 &) {
+  setLag(F, 1500);
+  std::this_thread::sleep_for(3s);
+  setLag(F, 5);
+}
+
 /// Runs a scenario and checks all guarantees, and that the fleet serves again.
 FullHistory check(const FaultSchedule &Faults,
                   std::chrono::milliseconds Run = 7s) {
@@ -71,14 +101,7 @@
 }
 
 // Guards against losing acknowledged urgent writes with their primary.
-TEST_CASE("primary is killed and restarted") {
-  check([](Fleet &F, auto &) {
-    std::string Primary = currentPrimary(F);
-    F.kill(Primary);
-    std::this_thread::sleep_for(3s);
-    F.startUpstream(Primary);
-  });
-}
+TEST_CASE("primary is killed and restarted") { check(killPrimary); }
 
 // Guards against acknowledgements of a replaced primary that resumes.
 TEST_CASE("primary is paused beyond the tolerance and resumed") {
@@ -101,16 +124,7 @@
 }
 
 // Guards against duplicates and lost transactions when proxies crash.
-TEST_CASE("proxies are killed and restarted") {
-  check([](Fleet &F, auto &Random) {
-    for (int I = 0; I < 3; ++I) {
-      std::string Proxy = "p" + std::to_string(1 + Random() % 8);
-      F.kill(Proxy);
-      std::this_thread::sleep_for(700ms);
-      F.startProxy(Proxy);
-    }
-  });
-}
+TEST_CASE("proxies are killed and restarted") { check(killProxies); }
 
 // Guards against a resumed proxy that acts on old state.
 TEST_CASE("a proxy is paused and resumed while the primary changes") {
@@ -151,16 +165,7 @@
 }
 
 // Guards against stale reads from a replica that is far behind.
-TEST_CASE("replicas far behind") {
-  check([](Fleet &F, auto &) {
-    standin::v1::UpstreamSettings Lag;
-    Lag.set_lag_ms(1500);
-    F.configure("db1-3", Lag);
-    std::this_thread::sleep_for(3s);
-    Lag.set_lag_ms(5);
-    F.configure("db1-3", Lag);
-  });
-}
+TEST_CASE("replicas far behind") { check(lagBehind); }
 
 // Guards against mixed answers when connections become unresponsive.
 TEST_CASE("connections become unresponsive") {
@@ -205,3 +210,46 @@
   for (const Operation &Op : H.Operations)
     CHECK_MESSAGE(Op.Outcome != Verdict::Unknown, Op.RequestId);
 }
+
+// Guards against checkers that never fail: each injected fault of the
+// databases must be reported by its checker.
+TEST_CASE("injected faults are reported") {
+  struct Case {
+    const char *Name;
+    standin::InjectedFault Fault;
+    FaultSchedule Schedule;
+    Violations (*Check)(const FullHistory &);
+  };
+  using standin::InjectedFault;
+  const FaultSchedule Nothing = [](Fleet &, std::mt19937_64 &) {};
+  const Case Cases[] = {
+      {"forget requests", InjectedFault::ForgetRequests, killProxies,
+       checkAtMostOnce},
+      {"overstate position", InjectedFault::OverstatePosition, lagBehind,
+       checkReadYourWrites},
+      {"split transactions", InjectedFault::SplitTransactions, Nothing,
+       checkTransactions},
+      {"commit failed", InjectedFault::CommitFailed, Nothing, checkNotRun},
+      {"lose suffix", InjectedFault::LoseSuffix, killPrimary, checkDurable},
+      {"swap results", InjectedFault::SwapResults, Nothing, checkAnswers},
+  };
+  for (const Case &C : Cases) {
+    Topology T = scenarioTopology();
+    T.UpstreamFlags = {"--inject-fault=" +
+                       std::to_string(static_cast<int>(C.Fault))};
+    Fleet F(T);
+    REQUIRE(F.awaitServing(10s));
+    ScenarioOptions Options;
+    Options.Seed = seed();
+    Options.Run = 5s;
+    FullHistory H = runScenario(F, Options, [&](Fleet &Target, auto &Random) {
+      warmUp(Random);
+      C.Schedule(Target, Random);
+    });
+    Violations Found = C.Check(H);
+    CHECK_MESSAGE(!Found.empty(), C.Name);
+    if (!Found.empty())
+      MESSAGE(C.Name << ": " << Found.size()
+                     << " violations, first: " << Found.front());
+  }
+}
--- a/tests/standin/src/database.cpp
+++ b/tests/standin/src/database.cpp
@@ -114,6 +114,9 @@
     return Terms.role() == UPSTREAM_ROLE_PRIMARY
                ? frame(CODE_OK)
                : frame(CODE_ERROR, "follows another primary of this term");
+  constexpr std::uint64_t LostEntries = 50;
+  if (Fault == InjectedFault::LoseSuffix && Log.size() > LostEntries)
+    cut(Log.size() - LostEntries);
   // Terms that the log has no entry of are not part of the new line.
   auto *History = Terms.mutable_history();
   while (!History->empty() && History->rbegin()->start() >= Log.size())
@@ -157,7 +160,7 @@
 }
 
 Code Database::holds(const Position &P) const {
-  if (P.index() == 0)
+  if (P.index() == 0 || Fault == InjectedFault::OverstatePosition)
     return CODE_OK;
   bool OwnTerm = false;
   bool LaterTerm = false;
@@ -209,6 +212,8 @@
   if (!Request.request_id().empty())
     Entry.set_result(F.result());
   *F.mutable_position() = commitEntry(std::move(Entry));
+  if (Fault == InjectedFault::SwapResults)
+    std::swap(LastResult, *F.mutable_result());
   return F;
 }
 
@@ -255,13 +260,26 @@
        findRecord(Request.request_id(), Request.issued_at_ms(), NowMs, F)))
     return F;
   for (const auto &[Key, Changed] : T.Seen)
-    if (!same(cell(Key).Changed, Changed))
-      return frame(CODE_ERROR, "conflict with another transaction on " + Key);
-  F = frame(CODE_OK);
+    if (!same(cell(Key).Changed, Changed)) {
+      F = frame(CODE_ERROR, "conflict with another transaction on " + Key);
+      if (Fault != InjectedFault::CommitFailed)
+        return F;
+    }
+  const bool Conflict = F.code() == CODE_ERROR;
+  if (!Conflict)
+    F = frame(CODE_OK);
   if (!T.Write) {
     *F.mutable_position() = applied();
     return F;
   }
+  if (Fault == InjectedFault::SplitTransactions)
+    for (const auto &Statement : T.Statements) {
+      v1::LogEntry Part;
+      *Part.add_statements() = Statement;
+      *F.mutable_position() = commitEntry(std::move(Part));
+    }
+  if (Fault == InjectedFault::SplitTransactions)
+    return F;
   v1::LogEntry Entry;
   Entry.mutable_statements()->Add(T.Statements.begin(), T.Statements.end());
   Entry.set_request_id(Request.request_id());
@@ -358,7 +376,7 @@
     return true;
   }
   auto It = Records.find(RequestId);
-  if (It == Records.end())
+  if (It == Records.end() || Fault == InjectedFault::ForgetRequests)
     return false;
   const v1::LogEntry &Entry = Log[It->second - 1];
   Answer = frame(CODE_OK);
--- a/tests/standin/src/database.h
+++ b/tests/standin/src/database.h
@@ -31,6 +31,23 @@
   std::vector<v1::Statement> Statements;
 };
 
+/// Broken behaviour that the history checkers must report.
+enum class InjectedFault : std::uint8_t {
+  None,
+  /// Runs a request again although its id is recorded.
+  ForgetRequests,
+  /// Claims positions that are not applied yet.
+  OverstatePosition,
+  /// Commits each statement of a transaction in an entry of its own.
+  SplitTransactions,
+  /// Reports an error but commits.
+  CommitFailed,
+  /// Loses the last entries when it is promoted.
+  LoseSuffix,
+  /// Answers a write with the result of the one before.
+  SwapResults,
+};
+
 class Database {
 public:
   /// \p Journal receives every durable change before it is answered.
@@ -71,6 +88,7 @@
   /// Age at which a request id expires.
   std::int64_t RetentionMs = 24LL * 60 * 60 * 1000;
   bool Leaving = false;
+  InjectedFault Fault = InjectedFault::None;
 
 private:
   struct Cell {
@@ -89,6 +107,7 @@
   void storeTerms();
 
   std::string Id;
+  std::string LastResult;
   std::function<void(const v1::JournalRecord &)> Journal;
   v1::TermState Terms;
   std::deque<v1::LogEntry> Log;
--- a/tests/standin/src/upstream.cpp
+++ b/tests/standin/src/upstream.cpp
@@ -99,6 +99,8 @@
 
   bool fresh() { return Db.status().raised_term() == 0; }
 
+  void inject(InjectedFault Fault) { Db.Fault = Fault; }
+
   void startAs(std::uint64_t Term, const std::string &PrimaryAddress) {
     std::lock_guard Lock(Mutex);
     if (!PrimaryAddress.empty()) {
@@ -437,7 +439,8 @@
                        {"slots", "5"},
                        {"service-us", "1000"},
                        {"connection-limit", "30"},
-                       {"journal", ""}});
+                       {"journal", ""},
+                       {"inject-fault", "0"}});
   prepareProcess();
   Server Db(F["id"], readAddressMap(F["address-map"]));
   auto Number = [&](const char *Name) {
@@ -449,6 +452,7 @@
   Initial.set_service_us(Number("service-us"));
   Initial.set_connection_limit(Number("connection-limit"));
   Db.Configure(nullptr, &Initial, &Unused);
+  Db.inject(static_cast<InjectedFault>(Number("inject-fault")));
   if (!F["journal"].empty())
     Db.openJournal(F["journal"]);
   if (Number("term") > 0 && Db.fresh())
