--- a/tests/standin/src/network.cpp
+++ b/tests/standin/src/network.cpp
@@ -132,6 +132,21 @@
   shutdown(To, C->Hung ? SHUT_RDWR : SHUT_WR);
 }
 
+/// Connects to the target and moves data in both directions. Runs on a thread
+/// of its own, since connecting to a paused process can block for minutes and
+/// used to stop all links.
+void join(const std::shared_ptr<Connection> &C) {
+  // A refused connection closes the accepted one.
+  if (connect(C->Target, reinterpret_cast<const sockaddr *>(&C->Path.Target),
+              sizeof(C->Path.Target)) != 0)
+    return;
+  int On = 1;
+  setsockopt(C->Source, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  setsockopt(C->Target, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  std::thread([C] { pump(C, C->Source, C->Target); }).detach();
+  pump(C, C->Target, C->Source);
+}
+
 class Relay final : public v1::NetworkControl::Service {
 public:
   explicit Relay(const std::string &LinksFile);
@@ -209,19 +224,14 @@
   int Source = accept4(L.Listener, nullptr, nullptr, SOCK_CLOEXEC);
   int Target = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   auto C = std::make_shared<Connection>(L, Source, Target);
-  // A refused connection closes the accepted one.
-  if (Source < 0 || Target < 0 ||
-      connect(Target, reinterpret_cast<const sockaddr *>(&L.Target),
-              sizeof(L.Target)) != 0)
+  if (Source < 0 || Target < 0)
     return;
-  int On = 1;
-  setsockopt(Source, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  setsockopt(Target, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
-  std::thread([C] { pump(C, C->Source, C->Target); }).detach();
-  std::thread([C] { pump(C, C->Target, C->Source); }).detach();
-  std::lock_guard Lock(Mutex);
-  Connections.remove_if([](const auto &Open) { return Open.expired(); });
-  Connections.push_back(C);
+  {
+    std::lock_guard Lock(Mutex);
+    Connections.remove_if([](const auto &Open) { return Open.expired(); });
+    Connections.push_back(C);
+  }
+  std::thread([C] { join(C); }).detach();
 }
 
 v1::NetworkState
