--- a/tests/fleet/fleet.h
+++ b/tests/fleet/fleet.h
@@ -35,6 +35,8 @@
   std::vector<ProxySpec> Proxies;
   /// Additional flags of every proxy.
   std::vector<std::string> ProxyFlags;
+  /// Additional flags of every upstream.
+  std::vector<std::string> UpstreamFlags;
   /// One-way delays, applied by the relay.
   unsigned DomainDelayUs = 0;
   unsigned CallerDelayUs = 0;
@@ -143,6 +145,7 @@
   hangConnections(const standin::v1::LinkFilter &Links);
 
 private:
+  void stopAll();
   void run(const std::string &Name, std::vector<std::string> Command);
   void startNetwork();
   void writeConfiguration();
