Probe primaries so that the failover tolerance is not exceeded by a probe

Cause: the unavailability window of paused and partitioned primaries was about 1.61 s with a tolerance of 0.8 s. An unanswered probe on an open connection lasted 250 ms before the first new connection was tried, and attempts of 250 ms with a pause of 100 ms overshot the tolerance by up to 300 ms. Change: an open connection gets 100 ms; new connections get a quarter of the tolerance and follow each other without a pause.

--- a/packages/proxy/src/controlprobe.cpp
+++ b/packages/proxy/src/controlprobe.cpp
@@ -4,12 +4,20 @@
 namespace eelgrassloom::detail {
 namespace {
 
-/// Longest wait for the answer to a probe, or for a new connection: several
-/// attempts must fit into the shortest failover tolerance.
-constexpr Duration LongestProbe = std::chrono::milliseconds(250);
+/// Longest wait for a new connection.
+constexpr Duration LongestConnect = std::chrono::milliseconds(250);
+/// Longest wait for an answer on an open connection. Giving up early costs only
+/// a new connection, and the failover tolerance counts from its start.
+constexpr Duration LongestProbe = std::chrono::milliseconds(100);
+
+/// Whole attempts fill the failover tolerance, so that it does not end in the
+/// middle of one.
+Duration connectTimeout(const ControlState &S) {
+  return std::min(LongestConnect, S.C.Options.FailoverTolerance / 4);
+}
 
 Duration probeTimeout(const ControlState &S) {
-  return std::min(LongestProbe, S.C.Options.FailoverTolerance / 3);
+  return std::min(LongestProbe, S.C.Options.FailoverTolerance / 4);
 }
 
 ProbeSlot *slotOf(ControlState &S, const UpstreamId &Id, std::uint64_t Slot) {
@@ -36,7 +44,9 @@
   P.Busy = false;
   // A lost connection is replaced at once; only new connections that fail say
   // something about the upstream.
-  P.Next = NewConnection ? S.Now + S.C.Options.ProbeInterval : S.Now;
+  P.Next = NewConnection
+               ? std::max(S.Now, P.Started + S.C.Options.ProbeInterval)
+               : S.Now;
   if (!NewConnection)
     return;
   UpstreamContact Contact;
@@ -71,7 +81,7 @@
   };
   if (!P.Connection)
     P.Connection = S.C.Upstreams->Connect(
-        {P.Address, P.Database, S.C.Options.Id}, probeTimeout(S), Handler);
+        {P.Address, P.Database, S.C.Options.Id}, connectTimeout(S), Handler);
   else
     S.C.Upstreams->Call(*P.Connection, UpstreamCall(), probeTimeout(S),
                         Handler);
