Destroy upstream streams on the timer thread; bounded reads keep the token

gRPC 1.51 aborts ("assertion failed: prior > 0") when the last channel of a process is destroyed on one of its callback threads.

Reads that follow an own write more closely than the lag still go to the primary.

--- a/packages/proxy/src/entry.cpp
+++ b/packages/proxy/src/entry.cpp
@@ -336,7 +336,12 @@
   Position At = fromWire(F.position());
   UpstreamStatus Status = fromWire(F.status());
   if (satisfies(Request, Status.Line, At, fromMicros(F.staleness_us()))) {
-    advance(C->Token, C->Request.database(), At);
+    // A bounded read that fell back to the primary promises no more than its
+    // bound. Advancing the session to the primary's position would send its
+    // next reads there too, until a replica has caught up.
+    if (Status.UpstreamRole == Role::Replica ||
+        C->StalenessBound <= Duration::zero())
+      advance(C->Token, C->Request.database(), At);
     P->Context.Meters->reads(Status.UpstreamRole).Increment();
     finish(C, F.answer());
     return;
--- a/packages/proxy/src/grpcupstream.cpp
+++ b/packages/proxy/src/grpcupstream.cpp
@@ -14,11 +14,12 @@
 using upstream::v1::ClientFrame;
 using upstream::v1::ServerFrame;
 
-/// Deadlines of exchanges; one thread for all connections of the process.
+/// Deadlines of exchanges; one thread for all connections of the process. It
+/// is never destroyed, because streams can end while the process exits.
 Timer &deadlines() {
-  static const std::shared_ptr<Timer> Deadlines =
-      Timer::create(Clock::system());
-  return *Deadlines;
+  static const auto *Deadlines =
+      new std::shared_ptr<Timer>(Timer::create(Clock::system()));
+  return **Deadlines;
 }
 
 UpstreamCode codeOf(upstream::v1::Code C) {
@@ -133,7 +134,16 @@
 class GrpcStream : public grpc::ClientBidiReactor<ClientFrame, ServerFrame>,
                    public std::enable_shared_from_this<GrpcStream> {
 public:
-  GrpcStream(const std::string &Address)
+  /// A stream is destroyed on the thread of the deadlines. On a callback thread
+  /// the destructor of the last channel would wait for that same thread, and
+  /// gRPC 1.51 then aborts.
+  static std::shared_ptr<GrpcStream> create(const std::string &Address) {
+    return {new GrpcStream(Address), [](GrpcStream *S) {
+              deadlines().after(Duration::zero(), [S] { delete S; });
+            }};
+  }
+
+  explicit GrpcStream(const std::string &Address)
       : Stub(upstream::v1::Upstream::NewStub(grpc::CreateCustomChannel(
             Address, grpc::InsecureChannelCredentials(), channelArguments()))) {
   }
@@ -293,7 +303,7 @@
 std::shared_ptr<UpstreamConnection> connect(const UpstreamTarget &Target,
                                             Duration Timeout,
                                             UpstreamReplyHandler Opened) {
-  auto Stream = std::make_shared<GrpcStream>(Target.Address);
+  auto Stream = GrpcStream::create(Target.Address);
   auto Connection = std::make_shared<GrpcConnection>(Stream);
   Stream->open(Target, Timeout, std::move(Opened));
   return Connection;
