--- a/packages/kernel/src/routing.cpp
+++ b/packages/kernel/src/routing.cpp
@@ -58,7 +58,14 @@
   const UpstreamView *P = primary(Upstreams);
   if (!P || P->Suspected || listed(Excluded, P->Id))
     return {};
-  if (lineage(P->Line, Request.Seen) == Lineage::OnLine)
+  // A log with a higher term shows that this primary has been replaced.
+  const History *Newest = newestLine(Upstreams);
+  if (Newest && lastTerm(P->Line) < lastTerm(*Newest))
+    return {};
+  Lineage Relation = lineage(P->Line, Request.Seen);
+  if (Relation == Lineage::Lost)
+    return {};
+  if (Relation == Lineage::OnLine)
     return {RouteKind::Send, P->Id, Duration::zero()};
   // The session knows a newer term than this view of the primary. A read is
   // checked again by the upstream; a write could only end unconfirmed.
@@ -99,10 +106,10 @@
   // What the session has seen was committed before now, so it is usually
   // replayed here within the lag.
   Duration Expected = std::max(Duration::zero(), U.Lag - (Now - U.ObservedAt));
-  if (Expected > Options.MaxReplicaWait || Expected > Request.Remaining)
+  Duration Wait = std::min(Options.MaxReplicaWait, Request.Remaining);
+  if (Wait <= Duration::zero() || Expected > Wait)
     return {};
-  return {&U, std::min(Options.MaxReplicaWait, Request.Remaining),
-          Cost + Expected};
+  return {&U, Wait, Cost + Expected};
 }
 
 Route chooseCausal(const RouteRequest &Request,
@@ -125,6 +132,11 @@
   }
   if (!Best.View)
     return Primary;
+  const UpstreamView *P = primary(Upstreams);
+  if (Primary.Kind == RouteKind::Send && Primary.Wait == Duration::zero() &&
+      !P->Leaving &&
+      Best.Cost > baseCost(Request, *P, Options) + Options.PrimarySpill)
+    return Primary;
   return {RouteKind::Send, Best.View->Id, Best.Wait};
 }
 
