--- a/packages/proxy/src/controlio.cpp
+++ b/packages/proxy/src/controlio.cpp
@@ -1,10 +1,16 @@
 #include "controlstate.h"
+#include <algorithm>
 #include <mutex>
 #include <optional>
 
 namespace eelgrassloom::detail {
 namespace {
 
+/// One lost response is not an outage.
+constexpr unsigned OutageFailures = 2;
+/// Interval at which a platform that failed a call is tried again.
+constexpr Duration FailedRetry = std::chrono::milliseconds(500);
+
 /// Marks an exchange that never got a connection.
 UpstreamReply notConnected(const UpstreamReply &Opened) {
   UpstreamReply R = Opened;
@@ -79,15 +85,17 @@
 
 void platformSeen(ControlState &S, bool Ok) {
   PlatformState &P = S.Platform;
-  if (P.Known && P.Reachable == Ok)
+  P.Failures = Ok ? 0 : P.Failures + 1;
+  if (!Ok)
+    P.NextRead = std::min(P.NextRead, S.Now + jittered(S, FailedRetry));
+  if (P.Known && (P.Reachable == Ok || (!Ok && P.Failures < OutageFailures)))
     return;
   bool First = !P.Known;
   P.Known = true;
   P.Reachable = Ok;
   if (!Ok)
     S.C.Events->record(events::PlatformUnreachable, {},
-                       "platform " + S.C.Options.Platform +
-                           " does not answer");
+                       "platform " + S.C.Options.Platform + " does not answer");
   else if (!First)
     S.C.Events->record(events::PlatformReachable, {},
                        "platform " + S.C.Options.Platform + " answers");
@@ -124,12 +132,12 @@
 void peerRequest(ControlState &S, const std::string &Address,
                  peer::v1::PeerMessage Message, Duration Timeout,
                  PeerThen Then) {
-  S.C.Peers->request(
-      translated(S.C.Options, Address), std::move(Message), Timeout,
-      [Post = S.Post, Then = std::move(Then)](PeerCode Code,
-                                              const peer::v1::PeerMessage &M) {
-        Post([=](ControlState &State) { Then(State, Code, M); });
-      });
+  S.C.Peers->request(translated(S.C.Options, Address), std::move(Message),
+                     Timeout,
+                     [Post = S.Post, Then = std::move(Then)](
+                         PeerCode Code, const peer::v1::PeerMessage &M) {
+                       Post([=](ControlState &State) { Then(State, Code, M); });
+                     });
 }
 
 void peerSend(ControlState &S, const std::string &Address,
