--- a/packages/kernel/test/membership-test.cpp
+++ b/packages/kernel/test/membership-test.cpp
@@ -130,8 +130,10 @@
     std::mt19937_64 Random(Seed);
     constexpr std::array<MemberState, 3> States = {
         MemberState::Alive, MemberState::Suspect, MemberState::Dead};
+    constexpr int Count = 30;
     std::vector<MemberUpdate> Updates;
-    for (int I = 0; I < 30; ++I)
+    Updates.reserve(Count);
+    for (int I = 0; I < Count; ++I)
       Updates.push_back({"m" + std::to_string(Random() % 3), "a", "d", "o",
                          States[Random() % 3], 1 + Random() % 4});
     auto View = [&] {
