--- a/packages/proxy/src/controlconfig.cpp
+++ b/packages/proxy/src/controlconfig.cpp
@@ -8,9 +8,12 @@
 const std::string ConfigKey = "config";
 const std::string GroupPrefix = "group/";
 const std::string HostsKey = "hosts";
-/// Interval at which watch holders read `config` besides their watch, because
-/// a watch may be silent without having ended.
+/// Shortest interval at which watch holders read `config` besides their watch,
+/// because a watch may be silent without having ended.
 constexpr Duration HolderReadInterval = std::chrono::seconds(2);
+/// These reads may cost this much. At the design scale the value has 481 KB,
+/// which every 2 s would be 240 KB/s, many times the budget of a node.
+constexpr double HolderReadBytesPerSecond = 4096;
 /// Interval of attempts without any configuration.
 constexpr Duration FirstReadInterval = std::chrono::seconds(1);
 /// Interval of host list polls; with two holders per failure domain a leaving
@@ -116,15 +119,22 @@
   return P;
 }
 
+Duration readInterval(const ControlState &S) {
+  if (S.Config.Version == 0)
+    return FirstReadInterval;
+  std::chrono::duration<double> Affordable(
+      static_cast<double>(S.Platform.ConfigBytes) / HolderReadBytesPerSecond);
+  return std::max(HolderReadInterval,
+                  std::chrono::duration_cast<Duration>(Affordable));
+}
+
 } // namespace
 
 void readConfiguration(ControlState &S) {
   if (S.Platform.Reading)
     return;
   S.Platform.Reading = true;
-  S.Platform.NextRead =
-      S.Now + jittered(S, S.Config.Version == 0 ? FirstReadInterval
-                                                : HolderReadInterval);
+  S.Platform.NextRead = S.Now + jittered(S, readInterval(S));
   platformGet(S, ConfigKey, [](ControlState &State, const PlatformReply &R) {
     State.Platform.Reading = false;
     if (R.Code == PlatformCode::Ok)
@@ -136,6 +146,7 @@
   if (!Entry.Key.empty() && Entry.Key != ConfigKey)
     return;
   S.Platform.ConfigAbsent = Entry.Revision == 0;
+  S.Platform.ConfigBytes = Entry.Value.size();
   if (Entry.Revision == 0)
     return;
   config::v1::Configuration Wire;
--- a/packages/proxy/src/controlstate.h
+++ b/packages/proxy/src/controlstate.h
@@ -47,6 +47,8 @@
   std::string ConfigFault;
   /// The key `config` was read and is absent.
   bool ConfigAbsent = false;
+  /// Size of the value of `config`.
+  std::size_t ConfigBytes = 0;
 };
 
 /// A database of which this proxy owns an upstream.
