--- a/tests/fleet/scenario-test.cpp
+++ b/tests/fleet/scenario-test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 std::uint64_t seed() {
-  const char *Text = std::getenv("EELGRASSLOOM_SEED");
+  const char *Text = std::getenv("SCENARIO_SEED");
   return Text ? std::strtoull(Text, nullptr, 10) : 1;
 }
 
