--- a/bench/reads.cpp
+++ b/bench/reads.cpp
@@ -36,7 +36,7 @@
 };
 
 std::chrono::milliseconds think(std::mt19937_64 &Random) {
-  return std::chrono::milliseconds(Random() % (2 * ThinkMillis));
+  return std::chrono::milliseconds(Random() % (2UL * ThinkMillis));
 }
 
 /// Writes its own key and reads it back through changing proxies.
--- a/tests/fleet/scenario-test.cpp
+++ b/tests/fleet/scenario-test.cpp
@@ -68,9 +68,9 @@
 }
 
 void hangConnections(Fleet &F, std::mt19937_64 &) {
-  for (int I = 0; I < 3; ++I) {
+  for (int I = 0; I < 4; ++I) {
     F.hangConnections({});
-    std::this_thread::sleep_for(1s);
+    std::this_thread::sleep_for(800ms);
   }
 }
 
