--- a/packages/runtime/include/runtime/settings.h
+++ b/packages/runtime/include/runtime/settings.h
@@ -44,7 +44,6 @@
   Duration DrainTimeout{0};
   Duration RequestRetention{0};
   Duration ReplicaWait{0};
-  unsigned TrafficThreads = 0;
   unsigned RetryBudgetPercent = 0;
   unsigned TimelineCapacity = 0;
 };
--- a/packages/runtime/src/settings.cpp
+++ b/packages/runtime/src/settings.cpp
@@ -140,7 +140,7 @@
       {"platform-adapter", "EELGRASSLOOM_PLATFORM_ADAPTER", "grpc", "grpc",
        "platform adapter", oneOf(&Settings::PlatformAdapter, {"grpc"})},
       {"profile", "EELGRASSLOOM_PROFILE", "verband", "verband or unidad",
-       "what to favour under load and faults",
+       "changes the defaults of other settings",
        oneOf(&Settings::Profile, {"verband", "unidad"})},
       {"failover-tolerance-ms", "EELGRASSLOOM_FAILOVER_TOLERANCE_MS", "800",
        "100 to 5000", "unreachable time of a primary before a promotion",
@@ -160,9 +160,6 @@
       {"replica-wait-ms", "EELGRASSLOOM_REPLICA_WAIT_MS", "20", "0 to 1000",
        "longest wait for a replica before the primary is preferred",
        millis(&Settings::ReplicaWait, 0, 1000)},
-      {"traffic-threads", "EELGRASSLOOM_TRAFFIC_THREADS", "2", "1 to 64",
-       "threads that run the data path",
-       count(&Settings::TrafficThreads, 1, 64)},
       {"retry-budget-percent", "EELGRASSLOOM_RETRY_BUDGET_PERCENT", "10",
        "0 to 100", "retries as a share of first attempts",
        count(&Settings::RetryBudgetPercent, 0, 100)},
@@ -232,17 +229,47 @@
   return Out;
 }
 
+/// Default of a setting that differs from the table in one profile.
+struct ProfileDefault {
+  const char *Profile;
+  const char *Flag;
+  const char *Value;
+};
+
+constexpr ProfileDefault ProfileDefaults[] = {
+    // Urgent commitments and the failover window count most; lookups may wait
+    // longer for a replica and so keep the primary free.
+    {"unidad", "failover-tolerance-ms", "600"},
+    {"unidad", "replica-wait-ms", "50"},
+};
+
+const char *defaultOf(const Setting &S, const std::string &Profile) {
+  for (const ProfileDefault &D : ProfileDefaults)
+    if (Profile == D.Profile && std::string_view(S.Flag) == D.Flag)
+      return D.Value;
+  return S.Default;
+}
+
 std::optional<Source> sourceOf(const Setting &S, const Flags &F,
-                               const Environment &Env) {
+                               const Environment &Env,
+                               const std::string &Profile) {
   if (auto It = F.Values.find(S.Flag); It != F.Values.end())
     return Source{std::string("--") + S.Flag, It->second};
   if (auto It = Env.find(S.Variable); It != Env.end())
     return Source{S.Variable, It->second};
-  if (S.Default)
-    return Source{std::string("default of --") + S.Flag, S.Default};
+  if (const char *Default = defaultOf(S, Profile))
+    return Source{std::string("default of --") + S.Flag, Default};
   return std::nullopt;
 }
 
+/// Profile as given; its own check reports a bad name.
+std::string profileOf(const Flags &F, const Environment &Env) {
+  for (const Setting &S : table())
+    if (std::string_view(S.Flag) == "profile")
+      return sourceOf(S, F, Env, "")->Value;
+  return "";
+}
+
 /// Findings for variables with our prefix that name no setting.
 void checkUnknownVariables(const Environment &Env,
                            std::vector<Finding> &Findings) {
@@ -298,8 +325,9 @@
 
   std::vector<Finding> Findings = std::move(Flags.Findings);
   detail::checkUnknownVariables(Env, Findings);
+  const std::string Profile = detail::profileOf(Flags, Env);
   for (const detail::Setting &S : detail::table()) {
-    auto Source = detail::sourceOf(S, Flags, Env);
+    auto Source = detail::sourceOf(S, Flags, Env, Profile);
     if (!Source)
       Findings.push_back(
           {std::string("--") + S.Flag + " or " + S.Variable, "", S.Allowed});
@@ -322,6 +350,9 @@
       Out << "; required";
     else if (*S.Default)
       Out << "; default: " << S.Default;
+    for (const detail::ProfileDefault &D : detail::ProfileDefaults)
+      if (std::string_view(S.Flag) == D.Flag)
+        Out << ", " << D.Value << " with --profile=" << D.Profile;
     Out << "\n";
   }
   Out << "  --check-settings  check the settings and exit\n"
--- a/packages/runtime/test/settings-test.cpp
+++ b/packages/runtime/test/settings-test.cpp
@@ -60,3 +60,13 @@
   REQUIRE_FALSE(R.ok());
   CHECK(R.findings().size() == 6);
 }
+
+// Guards against a profile that changes nothing, or that overrides a flag.
+TEST_CASE("a profile changes defaults and nothing that is given") {
+  auto Args = Minimal;
+  Args.push_back("--profile=unidad");
+  auto R = parse(Args, {{"EELGRASSLOOM_REPLICA_WAIT_MS", "7"}});
+  REQUIRE(R.ok());
+  CHECK(toMillis(R.value().Values.FailoverTolerance) == 600);
+  CHECK(toMillis(R.value().Values.ReplicaWait) == 7);
+}
