--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -22,3 +22,7 @@
   # shellcheck disable=SC2086
   ctest --test-dir "$dir" --output-on-failure -j4 $label "${exclude[@]}"
 done
+if [ -f KNOWN-RED.txt ]; then
+  echo "known red:"
+  cat KNOWN-RED.txt
+fi
