--- a/packages/ctl/src/arguments.cpp
+++ b/packages/ctl/src/arguments.cpp
@@ -237,8 +237,8 @@
       R.A.Plan = Words[1];
   } else {
     R.Findings.push_back({"command", Name,
-                          "status, intent, plan, confirm, timeline or "
-                          "check-settings"});
+                          "status, intent, plan, confirm, timeline, "
+                          "logs or check-settings"});
     return;
   }
   if (Words.size() > Allowed)
@@ -271,8 +271,8 @@
   }
   if (Words.empty())
     R.Findings.push_back({"command", "",
-                          "status, intent, plan, confirm, timeline or "
-                          "check-settings"});
+                          "status, intent, plan, confirm, timeline, "
+                          "logs or check-settings"});
   else
     detail::readCommand(Words, R);
   detail::checkProxy(Env, R);
@@ -301,6 +301,11 @@
          "  timeline               events of all reachable proxies\n"
          "      --database NAME --request ID --session ID --plan ID "
          "--limit N\n"
+         "  logs FILE...           merge structured logs of several processes\n"
+         "      --request ID --session N --node NAME --database NAME "
+         "--promotions\n"
+         "      --context-ms N     also changes of state around what is shown\n"
+         "      --limit N --json\n"
          "  check-settings FLAGS   check flags and variables of eelgrassloom\n"
          "\n"
          "  --proxy IP:port        any proxy; default: EELGRASSCTL_PROXY\n"
--- a/packages/ctl/src/ctl.cpp
+++ b/packages/ctl/src/ctl.cpp
@@ -1,5 +1,6 @@
 #include "ctl/ctl.h"
 #include "ctl/arguments.h"
+#include "ctl/logs.h"
 #include "ctl/print.h"
 #include "operator.grpc.pb.h"
 #include <cstring>
@@ -102,6 +103,9 @@
   // The flags after it are those of eelgrassloom.
   if (Argc > 1 && std::strcmp(Argv[1], "check-settings") == 0)
     return detail::checkSettings(Argc - 1, Argv + 1, Env, Out, Err);
+  // Reads files; no proxy is asked.
+  if (Argc > 1 && std::strcmp(Argv[1], "logs") == 0)
+    return runLogs(Argc - 1, Argv + 1, Out, Err);
   auto Parsed = parseCtl(Argc, Argv, Env);
   if (!Parsed) {
     Err << toString(Parsed.findings()) << "\n"
--- /dev/null
+++ b/packages/ctl/src/logs.cpp
@@ -0,0 +1,259 @@
+#include "ctl/logs.h"
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <iostream>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <popt.h>
+
+namespace eelgrassloom {
+namespace detail {
+namespace {
+
+using nlohmann::json;
+
+enum LogFlag : int {
+  RequestFlag = 1,
+  SessionFlag,
+  NodeFlag,
+  DatabaseFlag,
+  PromotionsFlag,
+  ContextFlag,
+  LimitFlag,
+  JsonFlag,
+};
+
+const poptOption LogOptions[] = {
+    {"request", 0, POPT_ARG_STRING, nullptr, RequestFlag, nullptr, nullptr},
+    {"session", 0, POPT_ARG_STRING, nullptr, SessionFlag, nullptr, nullptr},
+    {"node", 0, POPT_ARG_STRING, nullptr, NodeFlag, nullptr, nullptr},
+    {"database", 0, POPT_ARG_STRING, nullptr, DatabaseFlag, nullptr, nullptr},
+    {"promotions", 0, POPT_ARG_NONE, nullptr, PromotionsFlag, nullptr, nullptr},
+    {"context-ms", 0, POPT_ARG_STRING, nullptr, ContextFlag, nullptr, nullptr},
+    {"limit", 0, POPT_ARG_STRING, nullptr, LimitFlag, nullptr, nullptr},
+    {"json", 0, POPT_ARG_NONE, nullptr, JsonFlag, nullptr, nullptr},
+    POPT_TABLEEND};
+
+/// Numbers of events as docs/EVENTS.md groups them.
+constexpr unsigned FirstPermissionEvent = 140;
+constexpr unsigned FirstStatementEvent = 160;
+constexpr unsigned LastStatementEvent = 165;
+
+bool aboutStatement(const LogLine &L) {
+  return L.Event >= FirstStatementEvent && L.Event <= LastStatementEvent;
+}
+
+bool aboutPromotion(const LogLine &L) {
+  return L.Event >= FirstPermissionEvent && L.Event < FirstStatementEvent;
+}
+
+template <class Number>
+bool takeNumber(const std::string &Flag, const std::string &Text, Number &Into,
+                std::vector<Finding> &Findings) {
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Error] = std::from_chars(Text.data(), End, Into);
+  bool Good = Error == std::errc() && Rest == End && Into >= 0;
+  if (!Good)
+    Findings.push_back({Flag, Text, "a number from 0"});
+  return Good;
+}
+
+void takeFlag(int Which, const std::string &Value, LogArguments &A,
+              std::vector<Finding> &Findings) {
+  LogFilter &F = A.Filter;
+  switch (Which) {
+  case RequestFlag:
+    F.Request = Value;
+    break;
+  case SessionFlag:
+    takeNumber("--session", Value, F.Session.emplace(), Findings);
+    break;
+  case NodeFlag:
+    F.Node = Value;
+    break;
+  case DatabaseFlag:
+    F.Database = Value;
+    break;
+  case PromotionsFlag:
+    F.Promotions = true;
+    break;
+  case ContextFlag:
+    takeNumber("--context-ms", Value, F.ContextMs.emplace(), Findings);
+    break;
+  case LimitFlag:
+    takeNumber("--limit", Value, A.Limit, Findings);
+    break;
+  default:
+    A.Json = true;
+  }
+}
+
+bool selected(const LogLine &L, const LogFilter &F) {
+  return (F.Request.empty() || L.Request == F.Request) &&
+         (F.Node.empty() || L.Node == F.Node) &&
+         (F.Database.empty() || L.Database == F.Database) &&
+         (!F.Session || L.Session == *F.Session) &&
+         (!F.Promotions || aboutPromotion(L));
+}
+
+/// Changes of state around the selected lines.
+bool inContext(const LogLine &L, const std::vector<LogLine> &Selected,
+               std::int64_t ContextMs) {
+  if (aboutStatement(L))
+    return false;
+  // Both are sorted by time.
+  auto First = std::lower_bound(
+      Selected.begin(), Selected.end(), L.At - ContextMs,
+      [](const LogLine &S, std::int64_t At) { return S.At < At; });
+  for (auto S = First; S != Selected.end() && S->At <= L.At + ContextMs; ++S)
+    if (L.Database.empty() || S->Database.empty() || S->Database == L.Database)
+      return true;
+  return false;
+}
+
+std::string timeOfDay(std::int64_t UnixMs) {
+  std::time_t Seconds = UnixMs / 1000;
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%02d:%02d:%02d.%03d", Parts.tm_hour,
+                Parts.tm_min, Parts.tm_sec, static_cast<int>(UnixMs % 1000));
+  return Text;
+}
+
+void printLine(std::ostream &Out, const LogLine &L, bool Json) {
+  if (Json)
+    Out << L.Json << "\n";
+  else
+    Out << timeOfDay(L.At) << " " << L.Node << " " << L.Event << " " << L.Name
+        << L.Fields << "\n";
+}
+
+LogLine decodeLine(const json &Value, std::string Text) {
+  LogLine L;
+  L.At = Value.at("at").get<std::int64_t>();
+  L.Node = Value.at("node").get<std::string>();
+  L.Event = Value.at("event").get<unsigned>();
+  L.Name = Value.at("name").get<std::string>();
+  L.Request = Value.value("id", "");
+  L.Session = Value.value("session", std::uint64_t{0});
+  L.Database = Value.value("service", "");
+  for (const auto &[Key, Field] : Value.items())
+    if (Key != "at" && Key != "node" && Key != "event" && Key != "name")
+      L.Fields += " " + Key + "=" +
+                  (Field.is_string() ? Field.get<std::string>() : Field.dump());
+  L.Json = std::move(Text);
+  return L;
+}
+
+} // namespace
+} // namespace detail
+
+Result<LogArguments> parseLogArguments(int Argc, const char **Argv) {
+  LogArguments A;
+  std::vector<Finding> Findings;
+  std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
+      poptGetContext(nullptr, Argc, Argv, detail::LogOptions, 0),
+      poptFreeContext);
+  int Next;
+  while ((Next = poptGetNextOpt(Context.get())) > 0) {
+    std::unique_ptr<char, decltype(&free)> Value(poptGetOptArg(Context.get()),
+                                                 &free);
+    detail::takeFlag(Next, Value ? Value.get() : "", A, Findings);
+  }
+  if (Next < -1)
+    Findings.push_back({poptBadOption(Context.get(), 0), poptStrerror(Next),
+                        "the flags that --help lists"});
+  while (const char *File = poptGetArg(Context.get()))
+    A.Files.emplace_back(File);
+  if (A.Files.empty())
+    Findings.push_back({"logs", "", "files with logs, or -"});
+  if (!Findings.empty())
+    return Result<LogArguments>::failure(std::move(Findings));
+  return Result<LogArguments>::success(std::move(A));
+}
+
+Result<LogLine> parseLogLine(const std::string &Text) {
+  std::size_t Start = Text.find('{');
+  if (Start == std::string::npos)
+    return Result<LogLine>::failure({{"line", Text, "a JSON object"}});
+  std::string Json = Text.substr(Start);
+  try {
+    return Result<LogLine>::success(
+        detail::decodeLine(detail::json::parse(Json), Json));
+  } catch (const detail::json::exception &E) {
+    return Result<LogLine>::failure({{"line", Text, E.what()}});
+  }
+}
+
+std::vector<LogLine> readLog(std::istream &In, std::size_t &Skipped) {
+  std::vector<LogLine> Lines;
+  for (std::string Text; std::getline(In, Text);) {
+    if (Text.empty())
+      continue;
+    auto Line = parseLogLine(Text);
+    if (Line)
+      Lines.push_back(std::move(Line).value());
+    else
+      ++Skipped;
+  }
+  return Lines;
+}
+
+std::vector<LogLine> selectLines(std::vector<LogLine> Lines,
+                                 const LogFilter &Filter) {
+  std::stable_sort(
+      Lines.begin(), Lines.end(),
+      [](const LogLine &A, const LogLine &B) { return A.At < B.At; });
+  std::vector<LogLine> Selected;
+  std::copy_if(Lines.begin(), Lines.end(), std::back_inserter(Selected),
+               [&](const LogLine &L) { return detail::selected(L, Filter); });
+  if (!Filter.ContextMs)
+    return Selected;
+  std::vector<LogLine> Wider;
+  std::copy_if(Lines.begin(), Lines.end(), std::back_inserter(Wider),
+               [&](const LogLine &L) {
+                 return detail::selected(L, Filter) ||
+                        detail::inContext(L, Selected, *Filter.ContextMs);
+               });
+  return Wider;
+}
+
+CtlExit runLogs(int Argc, const char **Argv, std::ostream &Out,
+                std::ostream &Err) {
+  auto Parsed = parseLogArguments(Argc, Argv);
+  if (!Parsed) {
+    Err << toString(Parsed.findings()) << "\n"
+        << "eelgrassctl --help lists commands and flags\n";
+    return CtlExit::BadUsage;
+  }
+  const LogArguments &A = Parsed.value();
+  std::vector<LogLine> Lines;
+  std::size_t Skipped = 0;
+  for (const std::string &File : A.Files) {
+    std::ifstream In;
+    if (File != "-") {
+      In.open(File);
+      if (!In) {
+        Err << File << " can't be read\n";
+        return CtlExit::Failed;
+      }
+    }
+    auto Read = readLog(File == "-" ? std::cin : In, Skipped);
+    std::move(Read.begin(), Read.end(), std::back_inserter(Lines));
+  }
+  Lines = selectLines(std::move(Lines), A.Filter);
+  std::size_t Shown = std::min(Lines.size(), A.Limit);
+  for (std::size_t I = 0; I < Shown; ++I)
+    detail::printLine(Out, Lines[I], A.Json);
+  if (Shown < Lines.size())
+    Err << Lines.size() - Shown << " more lines; see --limit\n";
+  if (Skipped > 0)
+    Err << Skipped << " lines are not structured logs\n";
+  return CtlExit::Done;
+}
+
+} // namespace eelgrassloom
--- /dev/null
+++ b/packages/ctl/test/logs-test.cpp
@@ -0,0 +1,126 @@
+#include "ctl/logs.h"
+#include <doctest/doctest.h>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <unistd.h>
+
+using namespace eelgrassloom;
+
+namespace {
+
+/// Two hosts around a revocation; the second one's lines have the prefix of a
+/// collector.
+const char *const FirstHost =
+    R"({"at":1000,"node":"a","event":130,"name":"server-unreachable","service":"s","server":"i-1","failing_ms":750}
+{"at":1900,"node":"a","event":161,"name":"statement-refused","id":"r1","session":4,"service":"s","reason":"the primary is being replaced"}
+{"at":1950,"node":"a","event":160,"name":"statement-done","id":"r2","session":5,"service":"s"}
+{"at":1960,"node":"a","event":142,"name":"primary-changed","service":"other","epoch":3}
+not a log line
+)";
+const char *const SecondHost =
+    R"(  1.5 b {"at":1500,"node":"b","event":152,"name":"revocation-started","service":"s","epoch":2}
+  1.2 b {"at":1200,"node":"b","event":120,"name":"store-lost","checks":0}
+  9.9 b {"at":9900,"node":"b","event":121,"name":"store-regained","checks":0}
+)";
+
+std::vector<LogLine> bothHosts(std::size_t &Skipped) {
+  std::istringstream A(FirstHost);
+  std::istringstream B(SecondHost);
+  auto Lines = readLog(A, Skipped);
+  for (LogLine &L : readLog(B, Skipped))
+    Lines.push_back(std::move(L));
+  return Lines;
+}
+
+std::string names(const LogFilter &Filter) {
+  std::size_t Skipped = 0;
+  std::string Text;
+  for (const LogLine &L : selectLines(bothHosts(Skipped), Filter))
+    Text += L.Name + " ";
+  return Text;
+}
+
+Result<LogArguments> parse(std::vector<const char *> Words) {
+  Words.insert(Words.begin(), "logs");
+  Words.push_back(nullptr);
+  return parseLogArguments(static_cast<int>(Words.size() - 1), Words.data());
+}
+
+} // namespace
+
+TEST_CASE("lines of several hosts are merged by time") {
+  std::size_t Skipped = 0;
+  auto Lines = selectLines(bothHosts(Skipped), {});
+  REQUIRE(Lines.size() == 7);
+  CHECK(Skipped == 1);
+  CHECK(Lines[0].Node == "a");
+  CHECK(Lines[1].Name == "store-lost");
+  CHECK(Lines[1].Fields == " checks=0");
+  CHECK(Lines[6].At == 9900);
+}
+
+TEST_CASE("lines are selected by request, session, node and database") {
+  LogFilter F;
+  F.Request = "r1";
+  CHECK(names(F) == "statement-refused ");
+  F = {};
+  F.Session = 5;
+  CHECK(names(F) == "statement-done ");
+  F = {};
+  F.Node = "b";
+  CHECK(names(F) == "store-lost revocation-started store-regained ");
+  F = {};
+  F.Database = "other";
+  CHECK(names(F) == "primary-changed ");
+  F = {};
+  F.Promotions = true;
+  CHECK(names(F) == "revocation-started primary-changed ");
+}
+
+// The way from the id of a request to its cause: what changed around it for
+// the same database, or for whole hosts.
+TEST_CASE("the context of a request holds changes of state") {
+  LogFilter F;
+  F.Request = "r1";
+  F.ContextMs = 1000;
+  CHECK(names(F) == "server-unreachable store-lost revocation-started "
+                    "statement-refused ");
+}
+
+TEST_CASE("malformed lines are findings") {
+  for (const char *Text :
+       {"", "{", "[1]", "{}", R"({"at":"x","node":"a","event":1,"name":"n"})",
+        R"({"at":1,"node":2,"event":1,"name":"n"})",
+        R"({"at":1,"node":"a","event":1,"name":"n","session":"x"})"})
+    CHECK_FALSE(parseLogLine(Text));
+}
+
+TEST_CASE("all findings of the arguments are reported") {
+  CHECK_FALSE(parse({}));
+  CHECK(parse({"--session", "x", "--context-ms", "-1"}).findings().size() == 3);
+  CHECK_FALSE(parse({"--fly", "file"}));
+  auto A = parse({"x.log", "-", "--request", "r", "--limit", "7", "--json"});
+  REQUIRE(A);
+  CHECK(A.value().Files.size() == 2);
+  CHECK(A.value().Limit == 7);
+  CHECK(A.value().Json);
+}
+
+TEST_CASE("the command prints what it selected and says what is missing") {
+  auto Path = std::filesystem::temp_directory_path() /
+              ("logs-test-" + std::to_string(::getpid()) + ".log");
+  std::ofstream(Path) << FirstHost;
+  std::string File = Path.string();
+  std::ostringstream Out;
+  std::ostringstream Err;
+  const char *Words[] = {"eelgrassctl", "logs", File.c_str(),
+                         "--limit",     "1",    nullptr};
+  CHECK(runCtl(5, Words, {}, Out, Err) == CtlExit::Done);
+  CHECK(Out.str() == "00:00:01.000 a 130 server-unreachable failing_ms=750 "
+                     "server=i-1 service=s\n");
+  CHECK(Err.str() == "3 more lines; see --limit\n"
+                     "1 lines are not structured logs\n");
+  std::filesystem::remove(Path);
+  CHECK(runCtl(3, Words, {}, Out, Err) == CtlExit::Failed);
+}
