Log what a replacement waits for and why it goes on

157 promotion-waiting, 158 permissions-ended and 159 primary-published are new; 152 is written after the answer of the store and for revocations only. An incident showed a holder that had lost its lock 'start a revocation' of stage stable, which the store had refused, and 1.1 s of a promotion without a line.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -60,6 +60,8 @@
   Duration DutyProxiesInterval = std::chrono::milliseconds(400);
   /// The same while a primary is being replaced.
   Duration RevokingProxiesInterval = std::chrono::milliseconds(120);
+  /// Interval of log lines on a replacement that is in progress.
+  Duration PromotionNotes = std::chrono::milliseconds(500);
   Duration DutyInterval = std::chrono::milliseconds(100);
   Duration DutyLease = std::chrono::milliseconds(1500);
   Duration DutyKeepInterval = std::chrono::milliseconds(500);
@@ -120,6 +122,8 @@
     PromotionState Promotion;
     std::map<UpstreamId, ServerStatus, std::less<>> Statuses;
     std::set<UpstreamId> Asking;
+    /// When a waiting promotion was last logged.
+    Instant NotedAt;
     /// A change of the record or a promotion is in progress.
     bool Busy = false;
   };
@@ -217,6 +221,10 @@
   /// An earlier holder of the duty may have called a promotion in this epoch.
   bool calledBefore(const KnownGroup &G) const;
   PromotionInput inputOf(const KnownGroup &G) const;
+  /// Logs what a replacement that takes long is waiting for.
+  void notePromotion(KnownGroup &G, const PromotionInput &In);
+  void noteRecord(const PrimaryRecord &Record, ReplaceReason Reason,
+                  StoreCode Answer);
   void perform(const std::string &Service, const PromotionAction &Action);
   void storeRecord(const std::string &Service, const StoreRecord &Action);
   void askStatuses(const std::string &Service);
--- a/packages/control/src/duty.cpp
+++ b/packages/control/src/duty.cpp
@@ -192,8 +192,17 @@
     G.Promotion.Options.Lease = Options.Lease;
     if (G.Busy)
       continue;
-    for (const PromotionAction &Action : step(G.Promotion, inputOf(G), now()))
+    PromotionInput In = inputOf(G);
+    bool Waiting = !G.Promotion.Released;
+    for (const PromotionAction &Action : step(G.Promotion, In, now()))
       perform(Service, Action);
+    if (Waiting && G.Promotion.Released)
+      Target.events().write(EngineEvent::PermissionsEnded,
+                            {{"service", Service},
+                             {"epoch", G.Record.Epoch},
+                             {"after_ms", now() - G.Promotion.RevokedAt},
+                             {"reason", name(G.Promotion.ReleasedBy)}});
+    notePromotion(G, In);
   }
   if (!StoreUp)
     return; // Nothing can be stored now; the reads can wait.
@@ -202,6 +211,33 @@
   NextProxies = std::min(NextProxies, Next);
 }
 
+void Coordinator::notePromotion(KnownGroup &G, const PromotionInput &In) {
+  const PromotionState &S = G.Promotion;
+  if (In.Record.Stage != GroupStage::Revoking || In.Record.Epoch != S.Epoch ||
+      now() - std::max(S.RevokedAt, G.NotedAt) < Options.PromotionNotes)
+    return;
+  G.NotedAt = now();
+  auto Acknowledged =
+      std::count_if(Proxies.begin(), Proxies.end(), [&](const ProxyReport &P) {
+        return acknowledged(P, In.Record);
+      });
+  auto Answering = std::count_if(
+      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
+        auto Status = G.Statuses.find(Server.Id);
+        return Server.Id != In.Record.Primary && Status != G.Statuses.end() &&
+               Status->second.Reachable;
+      });
+  Target.events().write(EngineEvent::PromotionWaiting,
+                        {{"service", In.Record.Service},
+                         {"epoch", In.Record.Epoch},
+                         {"since_ms", now() - S.RevokedAt},
+                         {"acknowledged", Acknowledged},
+                         {"proxies", Proxies.size()},
+                         {"permissions_ended", name(S.ReleasedBy)},
+                         {"replicas_answering", Answering},
+                         {"servers", In.Servers.size()}});
+}
+
 void Coordinator::perform(const std::string &Service,
                           const PromotionAction &Action) {
   if (const auto *Record = std::get_if<StoreRecord>(&Action))
@@ -218,21 +254,17 @@
                               const StoreRecord &Action) {
   KnownGroup &G = Groups[Service];
   G.Busy = true;
-  Target.events().write(EngineEvent::RevocationStarted,
-                        {{"service", Service},
-                         {"epoch", Action.Record.Epoch},
-                         {"stage", name(Action.Record.Stage)},
-                         {"primary", Action.Record.Primary},
-                         {"reason", name(Action.Reason)}});
   StoreChange Change;
   Change.Conditions = {{groupKey(Service), G.Revision},
                        {std::string(DutyTokenKey), Duty.TokenRevision}};
   Change.Sets = {{groupKey(Service), encode(Action.Record), 0, 0}};
   Platform.change(
       Change, Options.CallTimeout,
-      [this, Service, Record = Action.Record](StoreReply Reply) {
+      [this, Service, Record = Action.Record,
+       Reason = Action.Reason](StoreReply Reply) {
         KnownGroup &Known = Groups[Service];
         Known.Busy = false;
+        noteRecord(Record, Reason, Reply.Code);
         if (Reply.Code == StoreCode::Ok)
           acceptGroup({groupKey(Service), encode(Record), Reply.Revision, 0});
         for (const StoreItem &Item : Reply.Items)
@@ -244,6 +276,23 @@
       });
 }
 
+void Coordinator::noteRecord(const PrimaryRecord &Record, ReplaceReason Reason,
+                             StoreCode Answer) {
+  if (Record.Stage == GroupStage::Revoking)
+    Target.events().write(EngineEvent::RevocationStarted,
+                          {{"service", Record.Service},
+                           {"epoch", Record.Epoch},
+                           {"primary", Record.Primary},
+                           {"reason", name(Reason)},
+                           {"answer", name(Answer)}});
+  else
+    Target.events().write(EngineEvent::PrimaryPublished,
+                          {{"service", Record.Service},
+                           {"epoch", Record.Epoch},
+                           {"primary", Record.Primary},
+                           {"answer", name(Answer)}});
+}
+
 void Coordinator::askStatuses(const std::string &Service) {
   for (const ServerEntry &Server : Servers) {
     if (Server.Service != Service)
--- a/packages/control/test/release-test.cpp
+++ b/packages/control/test/release-test.cpp
@@ -1,5 +1,6 @@
 #include "fakestore.h"
 #include <doctest/doctest.h>
+#include <sstream>
 
 // How long a replacement waits for permissions of proxies that do not answer.
 
@@ -17,6 +18,18 @@
   return F.Time.Now - Start;
 }
 
+/// The lines of all proxies that contain \p Text.
+std::string logged(Fleet &F, const std::string &Text) {
+  std::string Found;
+  for (auto &P : F.Members) {
+    std::istringstream Lines(P->Events->take());
+    for (std::string Line; std::getline(Lines, Line);)
+      if (Line.find(Text) != std::string::npos)
+        Found += Line + '\n';
+  }
+  return Found;
+}
+
 /// A server that no longer leads may be used by some proxy.
 bool formerPrimaryPermitted(Fleet &F) {
   for (std::size_t I = 0; I < F.Members.size(); ++I)
@@ -69,12 +82,27 @@
   F.Keys.put("servers/a", "draining");
   CHECK(timeToPromotion(F, 5s) < 2200ms);
   CHECK_FALSE(formerPrimaryPermitted(F));
+  CHECK(logged(F, "permissions-ended").find("\"reason\":\"checks\"") !=
+        std::string::npos);
   F.healDomain("zone1");
   F.advance(3s);
   for (std::size_t I = 0; I < F.Members.size(); ++I)
     CHECK(F.permitted(I));
 }
 
+TEST_CASE("the log says what a promotion is waiting for") {
+  Fleet F(4);
+  F.advance(5s);
+  F.Reachable.clear();
+  F.Keys.put("servers/a", "draining");
+  F.advance(4s);
+  CHECK(F.Promotions.empty());
+  std::string Lines = logged(F, "promotion-waiting");
+  CHECK(Lines.find("\"acknowledged\":4,\"proxies\":4,\"permissions_ended\":"
+                   "\"acknowledged\",\"replicas_answering\":0") !=
+        std::string::npos);
+}
+
 // ONE: under any of these faults nobody may use a primary once another server
 // was promoted.
 TEST_CASE("no permission outlasts a promotion under random faults") {
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -41,6 +41,9 @@
   PromotionCalled,
   PromotionAnswered,
   ProxyEvicted,
+  PromotionWaiting,
+  PermissionsEnded,
+  PrimaryPublished,
   StatementDone,
   StatementRefused,
   StatementRetried,
@@ -59,7 +62,7 @@
 };
 
 /// In the order of EngineEvent.
-inline constexpr std::array<EngineEventKind, 33> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 36> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -85,6 +88,9 @@
     {154, "promotion-called", 20},
     {155, "promotion-answered", 20},
     {156, "proxy-evicted", 20},
+    {157, "promotion-waiting", 20},
+    {158, "permissions-ended", 20},
+    {159, "primary-published", 20},
     {160, "statement-done", 40},
     {161, "statement-refused", 40},
     {162, "statement-retried", 40},
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -130,6 +130,25 @@
   return ReplaceReasonNames[static_cast<std::size_t>(R)];
 }
 
+/// Why no proxy can use the primary of a revoked record any more.
+enum class ReleaseReason : std::uint8_t {
+  /// Some may still use it.
+  None,
+  /// All have acknowledged.
+  Acknowledged,
+  /// Enough have, and the permissions of the others began a lease ago.
+  Checks,
+  /// A lease ago enough had acknowledged.
+  Lease,
+  /// No permission can last for this long.
+  Age,
+};
+inline constexpr std::array<std::string_view, 5> ReleaseReasonNames = {
+    "no", "acknowledged", "checks", "lease", "age"};
+constexpr std::string_view name(ReleaseReason R) {
+  return ReleaseReasonNames[static_cast<std::size_t>(R)];
+}
+
 struct PromotionState {
   PromotionOptions Options;
   /// Epoch that the fields below belong to.
@@ -142,6 +161,7 @@
   std::optional<Instant> QuorumAt;
   /// When no proxy could use the old primary any more.
   std::optional<Instant> Released;
+  ReleaseReason ReleasedBy = ReleaseReason::None;
   Instant NextStatus;
   UpstreamId Candidate;
   std::optional<Instant> CalledAt;
@@ -206,8 +226,13 @@
 ReplaceReason replaceReason(const PromotionOptions &Options,
                             const PromotionInput &In);
 
-/// True if no proxy can use the primary of the revoked record any more.
-bool released(PromotionState &S, const PromotionInput &In, Instant Now);
+/// True if the proxy has acknowledged this epoch of the record.
+bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record);
+
+/// Whether, and why, no proxy can use the primary of the revoked record any
+/// more.
+ReleaseReason releaseReason(PromotionState &S, const PromotionInput &In,
+                            Instant Now);
 
 } // namespace eelgrassloom
 
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -118,6 +118,7 @@
   S.Epoch = In.Record.Epoch;
   S.RevokedAt = Now;
   S.Released.reset();
+  S.ReleasedBy = ReleaseReason::None;
   S.QuorumAt.reset();
   S.NextStatus = Now;
   S.Candidate.clear();
@@ -126,11 +127,6 @@
   S.RefusedAt.clear();
 }
 
-bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record) {
-  auto It = Proxy.Acknowledged.find(Record.Service);
-  return It != Proxy.Acknowledged.end() && It->second >= Record.Epoch;
-}
-
 /// Proxies that have acknowledged and know whom they have answered.
 std::set<std::string_view> accountedFor(const PromotionInput &In) {
   std::set<std::string_view> Ids;
@@ -245,7 +241,8 @@
 std::vector<PromotionAction>
 stepWaiting(PromotionState &S, const PromotionInput &In, Instant Now) {
   std::vector<PromotionAction> Actions;
-  if (released(S, In, Now)) {
+  S.ReleasedBy = releaseReason(S, In, Now);
+  if (S.ReleasedBy != ReleaseReason::None) {
     S.Released = Now;
     S.NextStatus = Now;
   }
@@ -315,17 +312,23 @@
   return ReplaceReason::None;
 }
 
-bool released(PromotionState &S, const PromotionInput &In, Instant Now) {
+bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record) {
+  auto It = Proxy.Acknowledged.find(Record.Service);
+  return It != Proxy.Acknowledged.end() && It->second >= Record.Epoch;
+}
+
+ReleaseReason releaseReason(PromotionState &S, const PromotionInput &In,
+                            Instant Now) {
   if (detail::allLeasesPassed(S, Now))
-    return true;
+    return ReleaseReason::Age;
   // A proxy may have registered after an older list was read.
   if (In.ProxiesReadAt <= S.RevokedAt)
-    return false;
+    return ReleaseReason::None;
   std::size_t Acknowledged = 0;
   std::size_t Members = 0;
   bool All = true;
   for (const ProxyReport &Proxy : *In.Proxies) {
-    bool Done = detail::acknowledged(Proxy, In.Record);
+    bool Done = acknowledged(Proxy, In.Record);
     Acknowledged += Done ? 1 : 0;
     ++Members;
     All = All &&
@@ -333,11 +336,15 @@
   }
   if (Acknowledged >= releaseQuorum(Members) && !S.QuorumAt)
     S.QuorumAt = Now;
-  if (All || (S.QuorumAt && detail::leasePassed(S, *S.QuorumAt, Now)))
-    return true;
+  if (All)
+    return ReleaseReason::Acknowledged;
+  if (S.QuorumAt && detail::leasePassed(S, *S.QuorumAt, Now))
+    return ReleaseReason::Lease;
   auto Accounted = detail::accountedFor(In);
-  return Accounted.size() >= releaseQuorum(Members) &&
-         detail::othersEnded(S, In, Accounted, Now);
+  if (Accounted.size() >= releaseQuorum(Members) &&
+      detail::othersEnded(S, In, Accounted, Now))
+    return ReleaseReason::Checks;
+  return ReleaseReason::None;
 }
 
 std::vector<PromotionAction> step(PromotionState &S, const PromotionInput &In,
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -187,7 +187,7 @@
   X.revoke();
   X.acknowledge(7);
   X.In.ProxiesReadAt = X.S.RevokedAt;
-  CHECK_FALSE(released(X.S, X.In, X.Now + 100ms));
+  CHECK(releaseReason(X.S, X.In, X.Now + 100ms) == ReleaseReason::None);
 }
 
 namespace {
@@ -206,7 +206,7 @@
     In.Checks = &Checks;
     In.ProxiesReadAt = Now;
   }
-  bool ended() { return released(S, In, Now); }
+  bool ended() { return releaseReason(S, In, Now) == ReleaseReason::Checks; }
   CheckMarks Checks;
 };
 
