Let proxies without the store acknowledge to the duty holder

Change: while a revocation is not acknowledged by all, its holder asks the others directly; the question holds the revoked records, the answer what was acknowledged and whom the sender has answered. A proxy says the same as it would store. Ruled out: letting checkers store for their failure domain (they had lost the store as well).

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -62,6 +62,8 @@
   Duration RevokingProxiesInterval = std::chrono::milliseconds(120);
   /// Interval of log lines on a replacement that is in progress.
   Duration PromotionNotes = std::chrono::milliseconds(500);
+  /// Interval at which acknowledgements are asked for.
+  Duration AskInterval = std::chrono::milliseconds(200);
   Duration DutyInterval = std::chrono::milliseconds(100);
   Duration DutyLease = std::chrono::milliseconds(1500);
   Duration DutyKeepInterval = std::chrono::milliseconds(500);
@@ -144,6 +146,9 @@
     bool CallsKnown = false;
     bool ReadingCalls = false;
     std::map<std::string, std::uint64_t, std::less<>> Calls;
+    /// What proxies have told this one while it held the duty.
+    std::map<ProxyId, KnownEpochs, std::less<>> Told;
+    Instant NextAsk;
   };
 
   Coordinator(ProxyId Self, std::uint64_t Seed, Engine &Target, Store &Platform,
@@ -221,6 +226,11 @@
   /// An earlier holder of the duty may have called a promotion in this epoch.
   bool calledBefore(const KnownGroup &G) const;
   PromotionInput inputOf(const KnownGroup &G) const;
+  /// Asks for what the proxies have acknowledged but could not store.
+  void askAcknowledgements();
+  /// Merges what a proxy told and what it stored.
+  void mergeTold(ProxyReport &Report) const;
+  void toldByPeer(const PeerMessage &Answer);
   /// Logs what a replacement that takes long is waiting for.
   void notePromotion(KnownGroup &G, const PromotionInput &In);
   void noteRecord(const PrimaryRecord &Record, ReplaceReason Reason,
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -64,7 +64,8 @@
   std::uint64_t ServersDigest = 0;
   /// In a question: digest of the group records that the asking proxy has.
   std::uint64_t RecordsDigest = 0;
-  /// In an answer, if the digests differ, and in announcements.
+  /// In an answer, if the digests differ, and in announcements. In a question:
+  /// revoked records whose acknowledgement is asked for.
   std::vector<PeerRecord> Records;
 };
 std::string encode(const PeerMessage &Message);
@@ -134,6 +135,15 @@
   /// When one of them last answered this proxy or its checker.
   Instant outsideHeardAt() const { return OutsideHeardAt; }
 
+  /// Asks proxies to acknowledge revocations. Failure pattern: they have lost
+  /// the store and can't write it there.
+  void askAcknowledgements(const std::set<ProxyId, std::less<>> &Of,
+                           const std::vector<PeerRecord> &Revoked);
+  /// Called with each answer of another proxy, for what it acknowledged.
+  void onAnswer(std::function<void(const PeerMessage &)> Handler) {
+    AnswerHeard = std::move(Handler);
+  }
+
   /// Proxies whose questions were answered after \p Since.
   std::set<ProxyId, std::less<>> answeredSince(Instant Since) const;
 
@@ -161,6 +171,7 @@
   void answerProbe(const std::string &Address, std::uint64_t Exchange);
   void answer(const std::string &Address, const PeerMessage &Question);
   void answered(const PeerMessage &Message);
+  void hearRecords(const PeerMessage &Message);
   void takePositions(const PeerMessage &Message, Instant AskedAt);
   const PeerInfo *somePeer();
 
@@ -182,6 +193,7 @@
   std::map<ProxyId, Instant, std::less<>> AnsweredAt;
   RelayHandler Relayed;
   std::function<void(const PeerRecord &)> RecordHeard;
+  std::function<void(const PeerMessage &)> AnswerHeard;
   std::function<bool(const std::string &, std::uint64_t)> MayExtend;
   /// Proxies of this failure domain that check the store for the others.
   std::vector<ProxyId> Checkers;
--- a/packages/control/include/control/records.h
+++ b/packages/control/include/control/records.h
@@ -45,7 +45,7 @@
   bool Evicted = false;
   std::set<UpstreamId, std::less<>> Unreachable;
   std::map<std::string, std::uint64_t, std::less<>> Acknowledged;
-  /// See ProxyReport::Answered.
+  /// See KnownEpochs::Answered.
   std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>> Answered;
 
   bool operator==(const ProxyRecord &) const = default;
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -57,6 +57,8 @@
     return mayExtend(Service, Epoch);
   });
   Registered.onRecord([this](const PeerRecord &Record) { heard(Record); });
+  Registered.onAnswer(
+      [this](const PeerMessage &Answer) { toldByPeer(Answer); });
   Registered.onRelay([this](const RelayedView &View) { relayed(View); });
 }
 
--- a/packages/control/src/duty.cpp
+++ b/packages/control/src/duty.cpp
@@ -126,6 +126,7 @@
   Duty.TakeAt.reset();
   Duty.CallsKnown = false;
   Duty.Calls.clear();
+  Duty.Told.clear();
   ChecksKnown = false;
   Checks.clear();
   for (auto &Entry : Groups) {
@@ -204,6 +205,8 @@
                              {"reason", name(G.Promotion.ReleasedBy)}});
     notePromotion(G, In);
   }
+  if (Revoking && Others != nullptr && now() >= Duty.NextAsk)
+    askAcknowledgements();
   if (!StoreUp)
     return; // Nothing can be stored now; the reads can wait.
   Instant Next = now() + (Revoking ? Options.RevokingProxiesInterval
@@ -211,6 +214,48 @@
   NextProxies = std::min(NextProxies, Next);
 }
 
+void Coordinator::askAcknowledgements() {
+  Duty.NextAsk = now() + Options.AskInterval;
+  std::set<ProxyId, std::less<>> Silent;
+  std::vector<PeerRecord> Revoked;
+  for (const auto &Entry : Groups) {
+    const KnownGroup &G = Entry.second;
+    if (G.Record.Stage != GroupStage::Revoking || G.Promotion.Released)
+      continue;
+    Revoked.push_back({G.Record, G.Revision});
+    for (const ProxyReport &Report : Proxies)
+      if (!acknowledged(Report, G.Record))
+        Silent.insert(Report.Id);
+  }
+  if (!Silent.empty())
+    Others->askAcknowledgements(Silent, Revoked);
+}
+
+void Coordinator::toldByPeer(const PeerMessage &Answer) {
+  if (!Duty.Held || Answer.Epochs.Answered.empty())
+    return; // Only answers to the question above name them.
+  Duty.Told[Answer.From] = Answer.Epochs;
+  for (ProxyReport &Report : Proxies)
+    if (Report.Id == Answer.From)
+      mergeTold(Report);
+}
+
+void Coordinator::mergeTold(ProxyReport &Report) const {
+  auto Told = Duty.Told.find(Report.Id);
+  if (Told == Duty.Told.end())
+    return;
+  for (const auto &[Service, Epoch] : Told->second.Acknowledged) {
+    std::uint64_t &Stored = Report.Acknowledged[Service];
+    if (Epoch <= Stored)
+      continue;
+    Stored = Epoch;
+    Report.Answered.erase(Service);
+    auto Answered = Told->second.Answered.find(Service);
+    if (Answered != Told->second.Answered.end())
+      Report.Answered[Service] = Answered->second;
+  }
+}
+
 void Coordinator::notePromotion(KnownGroup &G, const PromotionInput &In) {
   const PromotionState &S = G.Promotion;
   if (In.Record.Stage != GroupStage::Revoking || In.Record.Epoch != S.Epoch ||
--- a/packages/control/src/ownrecord.cpp
+++ b/packages/control/src/ownrecord.cpp
@@ -75,6 +75,7 @@
 void Coordinator::updateEpochs() {
   KnownEpochs Known;
   Known.Acknowledged = Wanted.Acknowledged;
+  Known.Answered = Wanted.Answered;
   for (const auto &[Service, G] : Groups)
     if (G.Record.Epoch != 0)
       Known.Records[Service] = G.Record.Epoch;
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -42,6 +42,8 @@
                 {"x", M.Exchange},
                 {"records", M.Epochs.Records},
                 {"acknowledged", M.Epochs.Acknowledged}};
+  if (!M.Epochs.Answered.empty())
+    Value["answered"] = M.Epochs.Answered;
   json Positions = json::array();
   for (const PeerPosition &P : M.Positions)
     Positions.push_back(
@@ -80,6 +82,11 @@
       return Result<PeerMessage>::success(std::move(M));
     M.Epochs.Records = Value.at("records").get<Epochs>();
     M.Epochs.Acknowledged = Value.at("acknowledged").get<Epochs>();
+    if (Value.contains("answered"))
+      M.Epochs.Answered =
+          Value.at("answered")
+              .get<std::map<std::string, std::set<ProxyId, std::less<>>,
+                            std::less<>>>();
     for (const json &P : Value.at("positions"))
       M.Positions.push_back(
           {P.at(0).get<std::string>(),
@@ -193,7 +200,10 @@
   if (Question.RecordsDigest != 0 && Question.RecordsDigest != RecordsDigest)
     for (const auto &Entry : Records)
       M.Records.push_back(Entry.second);
+  hearRecords(Question); // Before the epochs: they may be acknowledged at once.
   M.Epochs = Own;
+  if (Question.Records.empty())
+    M.Epochs.Answered.clear(); // Nobody asked.
   Instant Now = Target.runtime().Now();
   AnsweredAt[Question.From] = Now;
   M.RulesRevision = View.RulesRevision;
@@ -217,10 +227,28 @@
   return Ids;
 }
 
-void Peers::answered(const PeerMessage &M) {
+void Peers::hearRecords(const PeerMessage &M) {
   if (RecordHeard)
     for (const PeerRecord &Record : M.Records)
       RecordHeard(Record);
+}
+
+void Peers::askAcknowledgements(const std::set<ProxyId, std::less<>> &Of,
+                                const std::vector<PeerRecord> &Revoked) {
+  PeerMessage M;
+  M.From = Self;
+  M.Exchange = NextExchange++;
+  M.Records = Revoked;
+  std::string Bytes = encode(M);
+  for (const PeerInfo &P : Known)
+    if (P.Id != Self && !P.Address.empty() && Of.count(P.Id) != 0)
+      Send(P.Address, Bytes);
+}
+
+void Peers::answered(const PeerMessage &M) {
+  hearRecords(M);
+  if (AnswerHeard)
+    AnswerHeard(M);
   if (M.Exchange == detail::Announcement)
     return;
   if (M.Exchange == PositionExchange)
--- a/packages/control/src/registry.cpp
+++ b/packages/control/src/registry.cpp
@@ -155,6 +155,7 @@
     for (const ProxyReport &Old : Proxies)
       if (Old.Id == Report.Id && Old.Revision == Report.Revision)
         Report.SeenAt = Old.SeenAt;
+    mergeTold(Report);
     Next.push_back(std::move(Report));
     if (Record.Id == Self && Record.Evicted)
       NextCheck = now(); // It must register again.
--- a/packages/control/test/peers-test.cpp
+++ b/packages/control/test/peers-test.cpp
@@ -10,6 +10,7 @@
   M.Exchange = 12;
   M.Epochs.Records["s"] = 3;
   M.Epochs.Acknowledged["s"] = 2;
+  M.Epochs.Answered["s"] = {"p2", "p3"};
   M.Positions.push_back({"s", 3, {2, 99}, std::chrono::milliseconds(40)});
   M.Records.push_back({{"s", 3, GroupStage::Revoking, "i-1", 2}, 77});
   M.RecordsDigest = 5;
@@ -18,6 +19,7 @@
   REQUIRE(R);
   CHECK(R.value().From == "p1");
   CHECK(R.value().Epochs.Records == M.Epochs.Records);
+  CHECK(R.value().Epochs.Answered == M.Epochs.Answered);
   CHECK(R.value().Positions[0].At == Position{2, 99});
   CHECK(R.value().Records[0].Record == M.Records[0].Record);
   CHECK(R.value().Records[0].Revision == 77);
--- a/packages/control/test/release-test.cpp
+++ b/packages/control/test/release-test.cpp
@@ -90,6 +90,22 @@
     CHECK(F.permitted(I));
 }
 
+// Failure pattern: most proxies have lost the store but not each other. They
+// can't store that they no longer use the primary.
+TEST_CASE("proxies without the store acknowledge to the duty holder") {
+  Fleet F(9, 3);
+  F.advance(12s);
+  for (auto &P : F.Members)
+    if (!P->Control->holdsDuty() && P->Id != "p0")
+      F.Keys.CutOff.insert(P->Id);
+  F.advance(3s);
+  F.Keys.put("servers/a", "draining");
+  CHECK(timeToPromotion(F, 8s) < 2200ms);
+  CHECK_FALSE(formerPrimaryPermitted(F));
+  CHECK(logged(F, "permissions-ended").find("\"reason\":\"acknowledged\"") !=
+        std::string::npos);
+}
+
 TEST_CASE("the log says what a promotion is waiting for") {
   Fleet F(4);
   F.advance(5s);
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -55,9 +55,7 @@
   /// When the duty holder first saw this revision.
   Instant SeenAt;
   std::string FailureDomain;
-  /// By revoked service: the proxies whose questions this one answered within
-  /// the lease and its margin before it acknowledged. No entry: it does not
-  /// know, because it had just started.
+  /// See KnownEpochs::Answered.
   std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>> Answered;
 };
 
--- a/packages/kernel/include/kernel/vouch.h
+++ b/packages/kernel/include/kernel/vouch.h
@@ -21,6 +21,10 @@
 struct KnownEpochs {
   std::map<std::string, std::uint64_t, std::less<>> Records;
   std::map<std::string, std::uint64_t, std::less<>> Acknowledged;
+  /// By acknowledged service: proxies whose questions this one answered within
+  /// the lease and its margin before it acknowledged. No entry: it does not
+  /// know, because it had just started.
+  std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>> Answered;
 };
 
 /// True if the proxy confirms that \p Epoch of \p Service may still be used.
