A duty holder acts only while its lease is known to hold

Now a holder changes nothing once its lease may have lapsed, and gives up the duty when an answer shows a newer token.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -141,6 +141,8 @@
     /// A free lock was seen; the duty is taken after a random delay.
     std::optional<Instant> TakeAt;
     Instant NextKeep;
+    /// When the last lease or keep that succeeded was asked for.
+    Instant KeptAt;
     /// Epochs in which earlier holders may have called promotions, by service;
     /// unknown until they have been read after the duty was taken.
     bool CallsKnown = false;
@@ -220,6 +222,10 @@
   void takeDuty();
   void lockDuty(std::uint64_t Lease);
   void keepDuty();
+  /// Later the lock may have lapsed and belong to another proxy.
+  bool dutyKept() const { return now() - Duty.KeptAt < Options.DutyLease; }
+  /// Gives up the duty if an answer shows that another proxy has taken it.
+  void noticeTaken(const StoreReply &Reply);
   void readCalls();
   void loseDuty(std::string_view Reason);
   void promoteGroups();
--- a/packages/control/src/duty.cpp
+++ b/packages/control/src/duty.cpp
@@ -15,7 +15,8 @@
       keepDuty();
     if (!Duty.CallsKnown && !Duty.ReadingCalls)
       readCalls();
-    promoteGroups();
+    if (dutyKept())
+      promoteGroups();
     return;
   }
   if (Duty.LockRevision != 0) {
@@ -49,11 +50,12 @@
   Change.Sets = {{std::string(DutyLockKey), Self, 0, Lease},
                  {std::string(DutyTokenKey), encode(Next), 0, 0}};
   Platform.change(Change, Options.CallTimeout,
-                  [this, Lease, Next](StoreReply Reply) {
+                  [this, Lease, Next, SentAt = now()](StoreReply Reply) {
                     Duty.Trying = false;
                     if (Reply.Code == StoreCode::Ok && !Leaving) {
                       Duty.Held = true;
                       Duty.Since = now();
+                      Duty.KeptAt = SentAt;
                       Duty.Lease = Lease;
                       Duty.Token = Next.Token;
                       Duty.TokenRevision = Reply.Revision;
@@ -87,13 +89,23 @@
 void Coordinator::keepDuty() {
   Duty.Keeping = true;
   Duty.NextKeep = now() + Options.DutyKeepInterval;
-  Platform.keepLease(Duty.Lease, Options.CallTimeout, [this](StoreReply Reply) {
-    Duty.Keeping = false;
-    if (Reply.Code == StoreCode::Gone && Duty.Held)
-      loseDuty("the lease has ended");
-    else if (Reply.Code != StoreCode::Ok)
-      Duty.NextKeep = now() + Options.CheckRetry;
-  });
+  Platform.keepLease(Duty.Lease, Options.CallTimeout,
+                     [this, SentAt = now()](StoreReply Reply) {
+                       Duty.Keeping = false;
+                       if (Reply.Code == StoreCode::Ok)
+                         Duty.KeptAt = SentAt;
+                       else if (Reply.Code == StoreCode::Gone && Duty.Held)
+                         loseDuty("the lease has ended");
+                       else
+                         Duty.NextKeep = now() + Options.CheckRetry;
+                     });
+}
+
+void Coordinator::noticeTaken(const StoreReply &Reply) {
+  for (const StoreItem &Item : Reply.Items)
+    if (Duty.Held && Item.Key == DutyTokenKey &&
+        Item.Revision > Duty.TokenRevision)
+      loseDuty("another proxy has taken it");
 }
 
 /// Whoever stored a call before this proxy took the duty is found: later ones
@@ -310,6 +322,7 @@
         KnownGroup &Known = Groups[Service];
         Known.Busy = false;
         noteRecord(Record, Reason, Reply.Code);
+        noticeTaken(Reply);
         if (Reply.Code == StoreCode::Ok)
           acceptGroup({groupKey(Service), encode(Record), Reply.Revision, 0});
         for (const StoreItem &Item : Reply.Items)
--- a/packages/control/test/release-test.cpp
+++ b/packages/control/test/release-test.cpp
@@ -106,6 +106,30 @@
         std::string::npos);
 }
 
+// Failure pattern: the duty holder alone has lost the store and hears from
+// peers that its successor revokes a primary, which it would restore.
+TEST_CASE("a duty holder without the store changes nothing") {
+  Fleet F(6, 3);
+  F.advance(12s);
+  std::size_t Holder = 0;
+  while (!F.proxy(Holder).Control->holdsDuty())
+    ++Holder;
+  F.Keys.CutOff.insert(F.proxy(Holder).Id);
+  F.Keys.Rejecting = true;
+  F.advance(2s);
+  F.Keys.put("servers/a", "draining");
+  F.Keys.Calls.clear();
+  CHECK(timeToPromotion(F, 8s) < 4s);
+  F.advance(2s);
+  CHECK(logged(F, "primary-published").find("rejected") == std::string::npos);
+  // Nor does it go on when it can reach the store again.
+  F.Keys.CutOff.clear();
+  F.advance(1s);
+  CHECK_FALSE(F.proxy(Holder).Control->holdsDuty());
+  CHECK(logged(F, "primary-published").empty());
+  CHECK(F.record().Primary == F.Leader);
+}
+
 TEST_CASE("the log says what a promotion is waiting for") {
   Fleet F(4);
   F.advance(5s);
