Read the marks of checks before taking the duty; replace a lost primary sooner

- A primary that is reported as unreachable and has never answered is not waited for 0.3 s; all its replicas are, so that the one that has received most is chosen.
- Reports of a lost primary make the holder read the list of the proxies as often as during a replacement.
Tests: the first new kernel test fails without the change.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -268,7 +268,9 @@
   std::map<UpstreamId, Instant, std::less<>> MissingSince;
   std::vector<ProxyReport> Proxies;
   Instant ProxiesReadAt;
-  /// Read by the holder of the duty only.
+  /// Read by the holder of the duty, and by others when the lock is free. A
+  /// revision that is still the same in a later read proves that there was no
+  /// check in between, however old the first read was.
   CheckMarks Checks;
   bool ChecksKnown = false;
   Instant StartedAt;
--- a/packages/control/src/duty.cpp
+++ b/packages/control/src/duty.cpp
@@ -25,6 +25,9 @@
   }
   if (!Duty.TakeAt) {
     Duty.TakeAt = Now + spread(Options.DutyDelay);
+    // The earlier the last checks are known, the earlier their permissions have
+    // ended for this proxy.
+    NextProxies = Now;
   } else if (Now >= *Duty.TakeAt && !Duty.Trying) {
     takeDuty();
   }
@@ -139,8 +142,6 @@
   Duty.CallsKnown = false;
   Duty.Calls.clear();
   Duty.Told.clear();
-  ChecksKnown = false;
-  Checks.clear();
   for (auto &Entry : Groups) {
     Entry.second.Promotion = PromotionState();
     Entry.second.Statuses.clear();
@@ -221,8 +222,16 @@
     askAcknowledgements();
   if (!StoreUp)
     return; // Nothing can be stored now; the reads can wait.
-  Instant Next = now() + (Revoking ? Options.RevokingProxiesInterval
-                                   : Options.DutyProxiesInterval);
+  // Reports of a lost primary must be seen soon as well.
+  bool Reported = std::any_of(
+      Proxies.begin(), Proxies.end(), [this](const ProxyReport &Report) {
+        return std::any_of(
+            Groups.begin(), Groups.end(), [&](const auto &Entry) {
+              return Report.Unreachable.count(Entry.second.Record.Primary) != 0;
+            });
+      });
+  Instant Next = now() + (Revoking || Reported ? Options.RevokingProxiesInterval
+                                               : Options.DutyProxiesInterval);
   NextProxies = std::min(NextProxies, Next);
 }
 
@@ -274,6 +283,7 @@
       now() - std::max(S.RevokedAt, G.NotedAt) < Options.PromotionNotes)
     return;
   G.NotedAt = now();
+  PermissionsLeft Left = permissionsLeft(S, In, now());
   auto Acknowledged =
       std::count_if(Proxies.begin(), Proxies.end(), [&](const ProxyReport &P) {
         return acknowledged(P, In.Record);
@@ -290,6 +300,8 @@
                          {"since_ms", now() - S.RevokedAt},
                          {"acknowledged", Acknowledged},
                          {"proxies", Proxies.size()},
+                         {"checked_lately", Left.Checked},
+                         {"answered_lately", Left.Answered},
                          {"permissions_ended", name(S.ReleasedBy)},
                          {"replicas_answering", Answering},
                          {"servers", In.Servers.size()}});
--- a/packages/control/src/registry.cpp
+++ b/packages/control/src/registry.cpp
@@ -102,20 +102,20 @@
   NextProxies = now() + (ProxiesReads++ < Options.FirstProxiesReads
                              ? Options.FirstProxiesInterval
                              : Options.ProxiesInterval);
-  bool WithChecks = Duty.Held;
-  Platform.range(
-      std::string(WithChecks ? ProxyStatePrefix : ProxyPrefix),
-      Duty.Held ? ReadMode::Current : ReadMode::MayBeOld, Options.CallTimeout,
-      [this, SentAt = now(), WithChecks, Token = Duty.Token](StoreReply Reply) {
-        ProxiesBusy = false;
-        if (Reply.Code != StoreCode::Ok) {
-          NextProxies = now() + readPause(Options.ServersInterval);
-          return;
-        }
-        if (WithChecks && Duty.Held && Duty.Token == Token)
-          noteCheckMarks(Reply.Items);
-        applyProxies(Reply.Items, SentAt);
-      });
+  bool WithChecks = Duty.Held || Duty.TakeAt;
+  Platform.range(std::string(WithChecks ? ProxyStatePrefix : ProxyPrefix),
+                 Duty.Held ? ReadMode::Current : ReadMode::MayBeOld,
+                 Options.CallTimeout,
+                 [this, SentAt = now(), WithChecks](StoreReply Reply) {
+                   ProxiesBusy = false;
+                   if (Reply.Code != StoreCode::Ok) {
+                     NextProxies = now() + readPause(Options.ServersInterval);
+                     return;
+                   }
+                   if (WithChecks)
+                     noteCheckMarks(Reply.Items);
+                   applyProxies(Reply.Items, SentAt);
+                 });
 }
 
 void Coordinator::noteCheckMarks(const std::vector<StoreItem> &Items) {
--- a/packages/control/test/release-test.cpp
+++ b/packages/control/test/release-test.cpp
@@ -138,7 +138,8 @@
   F.advance(4s);
   CHECK(F.Promotions.empty());
   std::string Lines = logged(F, "promotion-waiting");
-  CHECK(Lines.find("\"acknowledged\":4,\"proxies\":4,\"permissions_ended\":"
+  CHECK(Lines.find("\"acknowledged\":4,\"proxies\":4,\"checked_lately\":0,"
+                   "\"answered_lately\":0,\"permissions_ended\":"
                    "\"acknowledged\",\"replicas_answering\":0") !=
         std::string::npos);
 }
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -147,6 +147,16 @@
   return ReleaseReasonNames[static_cast<std::size_t>(R)];
 }
 
+/// Which proxies may still hold a permission for a revoked primary.
+struct PermissionsLeft {
+  /// They have acknowledged and know whom they answered.
+  std::set<std::string_view> Accounted;
+  /// Others that have checked the store within a lease.
+  std::size_t Checked = 0;
+  /// Others that were answered within a lease.
+  std::size_t Answered = 0;
+};
+
 struct PromotionState {
   PromotionOptions Options;
   /// Epoch that the fields below belong to.
@@ -227,6 +237,9 @@
 /// True if the proxy has acknowledged this epoch of the record.
 bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record);
 
+PermissionsLeft permissionsLeft(const PromotionState &S,
+                                const PromotionInput &In, Instant Now);
+
 /// Whether, and why, no proxy can use the primary of the revoked record any
 /// more.
 ReleaseReason releaseReason(PromotionState &S, const PromotionInput &In,
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -127,43 +127,10 @@
   S.RefusedAt.clear();
 }
 
-/// Proxies that have acknowledged and know whom they have answered.
-std::set<std::string_view> accountedFor(const PromotionInput &In) {
-  std::set<std::string_view> Ids;
-  for (const ProxyReport &Proxy : *In.Proxies)
-    if (acknowledged(Proxy, In.Record) &&
-        Proxy.Answered.count(In.Record.Service) != 0)
-      Ids.insert(Proxy.Id);
-  return Ids;
-}
-
 bool leasePassed(const PromotionState &S, Instant Since, Instant Now) {
   return Now - Since >= S.Options.Lease + PrimaryLeaseMargin;
 }
 
-/// True if the permissions of all other proxies than \p Accounted have ended.
-/// Each permission lasts a lease from a check of the store or from a quorum of
-/// peers. The others have made no check for that long, and a quorum, or a
-/// permission that is passed on, takes an answer of a proxy in \p Accounted.
-/// Failure pattern: a failure domain that is cut off from the store and from
-/// the other proxies.
-bool othersEnded(const PromotionState &S, const PromotionInput &In,
-                 const std::set<std::string_view> &Accounted, Instant Now) {
-  if (In.Checks == nullptr)
-    return false;
-  for (const auto &[Id, Check] : *In.Checks)
-    if (Accounted.count(Id) == 0 && !leasePassed(S, Check.SeenAt, Now))
-      return false;
-  for (const ProxyReport &Proxy : *In.Proxies) {
-    if (Accounted.count(Proxy.Id) == 0)
-      continue;
-    for (const ProxyId &Asker : Proxy.Answered.at(In.Record.Service))
-      if (Accounted.count(Asker) == 0)
-        return false;
-  }
-  return true;
-}
-
 /// A proxy without the store keeps its permission only with a quorum and a
 /// recent list of the proxies; after this time neither is left.
 bool allLeasesPassed(const PromotionState &S, Instant Now) {
@@ -225,15 +192,28 @@
                      });
 }
 
+/// All other servers have answered, or are known not to: a primary that can't
+/// be reached is replaced by the one that has received most.
+bool replicasAsked(const PromotionState &S, const PromotionInput &In) {
+  return std::all_of(
+      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
+        const ServerStatus *Status = findStatus(In, Server.Id);
+        return Server.Id == In.Record.Primary ||
+               (Status != nullptr && Status->AskedAt > *S.Released);
+      });
+}
+
 /// True while a replica may still receive the last commits of the old primary.
 bool mustCatchUp(const PromotionState &S, const PromotionInput &In,
                  const ServerEntry &Candidate, Instant Now) {
   if (Now - *S.Released >= S.Options.CatchUpTime)
     return false;
   const ServerStatus *Old = findStatus(In, In.Record.Primary);
+  bool AnswersMayCome = Now - *S.Released < 2 * S.Options.StatusInterval;
+  if (Old == nullptr && widelyUnreachable(S.Options, In))
+    return AnswersMayCome && !replicasAsked(S, In);
   if (Old == nullptr || (Old->Reachable && Old->AskedAt <= *S.Released))
-    return findServer(In, In.Record.Primary) != nullptr &&
-           Now - *S.Released < 2 * S.Options.StatusInterval;
+    return findServer(In, In.Record.Primary) != nullptr && AnswersMayCome;
   return Old->Reachable &&
          findStatus(In, Candidate.Id)->Received < Old->Received;
 }
@@ -317,6 +297,33 @@
   return It != Proxy.Acknowledged.end() && It->second >= Record.Epoch;
 }
 
+/// Each permission lasts a lease from a check of the store or from the answers
+/// of a quorum. Of the proxies that are not accounted for, only those counted
+/// here can hold one: a quorum, or a permission that is passed on, takes an
+/// answer of a proxy that is. Failure pattern: a failure domain that is cut off
+/// from the store and from the other proxies.
+PermissionsLeft permissionsLeft(const PromotionState &S,
+                                const PromotionInput &In, Instant Now) {
+  PermissionsLeft Left;
+  for (const ProxyReport &Proxy : *In.Proxies)
+    if (acknowledged(Proxy, In.Record) &&
+        Proxy.Answered.count(In.Record.Service) != 0)
+      Left.Accounted.insert(Proxy.Id);
+  if (In.Checks != nullptr)
+    for (const auto &[Id, Check] : *In.Checks)
+      if (Left.Accounted.count(Id) == 0 &&
+          !detail::leasePassed(S, Check.SeenAt, Now))
+        ++Left.Checked;
+  std::set<std::string_view> Answered;
+  for (const ProxyReport &Proxy : *In.Proxies)
+    if (Left.Accounted.count(Proxy.Id) != 0)
+      for (const ProxyId &Asker : Proxy.Answered.at(In.Record.Service))
+        if (Left.Accounted.count(Asker) == 0)
+          Answered.insert(Asker);
+  Left.Answered = Answered.size();
+  return Left;
+}
+
 ReleaseReason releaseReason(PromotionState &S, const PromotionInput &In,
                             Instant Now) {
   if (detail::allLeasesPassed(S, Now))
@@ -340,11 +347,13 @@
     return ReleaseReason::Acknowledged;
   if (S.QuorumAt && detail::leasePassed(S, *S.QuorumAt, Now))
     return ReleaseReason::Lease;
-  auto Accounted = detail::accountedFor(In);
-  if (Accounted.size() >= releaseQuorum(Members) &&
-      detail::othersEnded(S, In, Accounted, Now))
-    return ReleaseReason::Checks;
-  return ReleaseReason::None;
+  if (In.Checks == nullptr)
+    return ReleaseReason::None;
+  PermissionsLeft Left = permissionsLeft(S, In, Now);
+  bool Ended = Left.Checked == 0 && Left.Answered == 0;
+  return Ended && Left.Accounted.size() >= releaseQuorum(Members)
+             ? ReleaseReason::Checks
+             : ReleaseReason::None;
 }
 
 std::vector<PromotionAction> step(PromotionState &S, const PromotionInput &In,
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -394,6 +394,30 @@
   CHECK(X.promoted(X.tick()) == "b");
 }
 
+// Failure pattern: the failure domain of the primary is cut off; questions to
+// it take long to fail.
+TEST_CASE("a lost primary is replaced once both replicas have answered") {
+  Scene X;
+  X.revoke();
+  X.acknowledge(7);
+  X.tick();
+  REQUIRE(X.S.Released);
+  X.status("b", Role::Replica, 8);
+  CHECK(X.promoted(X.tick()).empty());
+  X.status("b", Role::Replica, 8);
+  X.status("c", Role::Replica, 9);
+  CHECK(X.promoted(X.tick(10ms)) == "c");
+}
+
+TEST_CASE("a replica that does not answer delays a replacement little") {
+  Scene X;
+  X.revoke();
+  X.acknowledge(7);
+  X.tick();
+  X.status("b", Role::Replica, 8);
+  CHECK(X.promoted(X.tick(300ms)) == "b");
+}
+
 // Guards against the loss of a commit that only one replica has received.
 TEST_CASE("with synchronous replication all replicas must answer") {
   Scene X;
