A stopping duty holder finishes the replacements that it has begun

Its successor had to assume that the call was on its way and waited 2.5 s: the primary was away for 4.5 s. A stop takes 3 s or more, so the holder now goes on for up to 2 s while a replacement is in progress, begins no new one and takes the duty no more. Ruled out: taking the stored call back, which the successor may have read.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -69,6 +69,9 @@
   Duration DutyKeepInterval = std::chrono::milliseconds(500);
   /// Largest random delay before a free duty is taken.
   Duration DutyDelay = std::chrono::milliseconds(300);
+  /// A stopping holder finishes replacements in this time, well within the
+  /// grace of a stop.
+  Duration DutyFinishTime = std::chrono::milliseconds(2000);
   /// Statements in progress on a revoked primary may finish in this time.
   Duration QuietTime = std::chrono::milliseconds(400);
   /// A registry entry may be missing for this long after an outage of the
@@ -97,7 +100,9 @@
   void start();
   /// Gives up the duty and, when \p Done is called, the registration.
   void leave(std::function<void()> Done);
-  /// This proxy will leave: it gives up the duty and extends no permissions.
+  /// This proxy will leave: it extends no permissions and gives up the duty
+  /// once the replacements in progress are finished. A successor would have to
+  /// begin them again, or wait for calls that may be on their way.
   void prepareToLeave();
   /// Runs timers; called every 100 ms or more often.
   void tick();
@@ -248,6 +253,8 @@
   void promote(const std::string &Service, const UpstreamId &Server);
 
   void stopDuty();
+  /// No replacement is in progress, or this one has tried for long enough.
+  bool dutyFinished() const;
   /// Time after which no permission is left that was given at its begin.
   Duration permissionTime() const { return Options.Lease + PrimaryLeaseMargin; }
   /// Learns from the first check how the earlier run of this proxy has ended.
--- a/packages/control/src/duty.cpp
+++ b/packages/control/src/duty.cpp
@@ -10,6 +10,10 @@
   if (Leaving || RulesRevision == 0 || !registered() || Now < NextDuty)
     return;
   NextDuty = Now + Options.DutyInterval;
+  if (StoppingAt && (!Duty.Held || dutyFinished())) {
+    stopDuty();
+    return;
+  }
   if (Duty.Held) {
     if (!Duty.Keeping && Now >= Duty.NextKeep)
       keepDuty();
@@ -152,11 +156,21 @@
 
 void Coordinator::prepareToLeave() {
   StoppingAt = now();
-  stopDuty();
+  if (dutyFinished())
+    stopDuty();
   if (Others != nullptr)
     Others->stopExtending();
 }
 
+bool Coordinator::dutyFinished() const {
+  bool Replacing =
+      std::any_of(Groups.begin(), Groups.end(), [](const auto &Entry) {
+        return Entry.second.Busy ||
+               Entry.second.Record.Stage == GroupStage::Revoking;
+      });
+  return !Replacing || now() - *StoppingAt >= Options.DutyFinishTime;
+}
+
 void Coordinator::stopDuty() {
   if (!Duty.Held)
     return;
@@ -211,7 +225,8 @@
     G.Record.Service = Service;
     Revoking = Revoking || G.Record.Stage == GroupStage::Revoking;
     G.Promotion.Options.Lease = Options.Lease;
-    if (G.Busy)
+    bool Begins = G.Record.Stage == GroupStage::Stable;
+    if (G.Busy || (Begins && StoppingAt))
       continue;
     PromotionInput In = inputOf(G);
     bool Waiting = !G.Promotion.Released;
--- a/packages/control/test/release-test.cpp
+++ b/packages/control/test/release-test.cpp
@@ -182,6 +182,42 @@
   CHECK(timeToPromotion(F, 5s) < 2200ms);
 }
 
+// Failure pattern: a rolling restart stops the duty holder in the middle of a
+// replacement.
+TEST_CASE("a stopping duty holder finishes what it has begun") {
+  Fleet F(5);
+  F.advance(6s);
+  std::size_t Holder = 0;
+  while (!F.proxy(Holder).Control->holdsDuty())
+    ++Holder;
+  F.Keys.put("servers/a", "draining");
+  while (F.record().Stage == GroupStage::Stable)
+    F.advance(F.Step);
+  F.proxy(Holder).Control->prepareToLeave();
+  CHECK(timeToPromotion(F, 8s) < 800ms);
+  F.advance(1s);
+  CHECK(F.record().Primary == F.Leader);
+  CHECK_FALSE(F.proxy(Holder).Control->holdsDuty());
+  F.advance(2s);
+  // It begins nothing new and takes the duty no more.
+  CHECK_FALSE(F.proxy(Holder).Control->holdsDuty());
+}
+
+TEST_CASE("a stopping duty holder gives up what it can't finish") {
+  Fleet F(5);
+  F.advance(6s);
+  std::size_t Holder = 0;
+  while (!F.proxy(Holder).Control->holdsDuty())
+    ++Holder;
+  F.Reachable.clear();
+  F.Keys.put("servers/a", "draining");
+  while (F.record().Stage == GroupStage::Stable)
+    F.advance(F.Step);
+  F.proxy(Holder).Control->prepareToLeave();
+  F.advance(2200ms);
+  CHECK_FALSE(F.proxy(Holder).Control->holdsDuty());
+}
+
 // Failure pattern: the duty holder alone has lost the store and hears from
 // peers that its successor revokes a primary, which it would restore.
 TEST_CASE("a duty holder without the store changes nothing") {
