--- a/packages/ctl/src/logs.cpp
+++ b/packages/ctl/src/logs.cpp
@@ -41,6 +41,7 @@
 constexpr unsigned FirstPermissionEvent = 140;
 constexpr unsigned FirstStatementEvent = 160;
 constexpr unsigned LastStatementEvent = 165;
+constexpr unsigned LinesDroppedEvent = 171;
 
 bool aboutStatement(const LogLine &L) {
   return L.Event >= FirstStatementEvent && L.Event <= LastStatementEvent;
@@ -102,7 +103,7 @@
 /// Changes of state around the selected lines.
 bool inContext(const LogLine &L, const std::vector<LogLine> &Selected,
                std::int64_t ContextMs) {
-  if (aboutStatement(L))
+  if (aboutStatement(L) || L.Event == LinesDroppedEvent)
     return false;
   // Both are sorted by time.
   auto First = std::lower_bound(
--- a/packages/ctl/test/logs-test.cpp
+++ b/packages/ctl/test/logs-test.cpp
@@ -16,6 +16,7 @@
 {"at":1900,"node":"a","event":161,"name":"statement-refused","id":"r1","session":4,"service":"s","reason":"the primary is being replaced"}
 {"at":1950,"node":"a","event":160,"name":"statement-done","id":"r2","session":5,"service":"s"}
 {"at":1960,"node":"a","event":142,"name":"primary-changed","service":"other","epoch":3}
+{"at":1970,"node":"a","event":171,"name":"lines-dropped","lines":3}
 not a log line
 )";
 const char *const SecondHost =
@@ -52,12 +53,12 @@
 TEST_CASE("lines of several hosts are merged by time") {
   std::size_t Skipped = 0;
   auto Lines = selectLines(bothHosts(Skipped), {});
-  REQUIRE(Lines.size() == 7);
+  REQUIRE(Lines.size() == 8);
   CHECK(Skipped == 1);
   CHECK(Lines[0].Node == "a");
   CHECK(Lines[1].Name == "store-lost");
   CHECK(Lines[1].Fields == " checks=0");
-  CHECK(Lines[6].At == 9900);
+  CHECK(Lines[7].At == 9900);
 }
 
 TEST_CASE("lines are selected by request, session, node and database") {
@@ -119,7 +120,7 @@
   CHECK(runCtl(5, Words, {}, Out, Err) == CtlExit::Done);
   CHECK(Out.str() == "00:00:01.000 a 130 server-unreachable failing_ms=750 "
                      "server=i-1 service=s\n");
-  CHECK(Err.str() == "3 more lines; see --limit\n"
+  CHECK(Err.str() == "4 more lines; see --limit\n"
                      "1 lines are not structured logs\n");
   std::filesystem::remove(Path);
   CHECK(runCtl(3, Words, {}, Out, Err) == CtlExit::Failed);
