--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -15,7 +15,7 @@
 constexpr Duration LeaseSlack = std::chrono::milliseconds(200);
 
 /// Entries of a check besides its conditions.
-constexpr std::size_t CheckMarks = 1;
+constexpr std::size_t MarkEntries = 1;
 
 StoreItem absent(const std::string &Key) { return {Key, {}, 0, 0}; }
 
@@ -173,7 +173,7 @@
   if (RulesRevision != 0)
     Conditions.push_back({Layout.RulesKey, RulesRevision});
   for (const auto &[Service, Rule] : Target.rules().Services) {
-    if (Conditions.size() + detail::CheckMarks == MaxStoreEntries) {
+    if (Conditions.size() + detail::MarkEntries == MaxStoreEntries) {
       checkPart(Conditions);
       Conditions = {{proxyKey(Self), OwnRevision}};
     }
--- /dev/null
+++ b/packages/control/src/peermessage.cpp
@@ -0,0 +1,99 @@
+// Encoding of the datagrams between proxies.
+
+#include "control/peers.h"
+#include "kernel/result.h"
+#include <nlohmann/json.hpp>
+
+namespace eelgrassloom {
+
+using nlohmann::json;
+
+std::string encode(const PeerMessage &M) {
+  if (M.Probe) {
+    json Short = {
+        {"q", M.Question}, {"p", true}, {"from", M.From}, {"x", M.Exchange}};
+    std::string Bytes;
+    json::to_msgpack(Short, Bytes);
+    return Bytes;
+  }
+  json Value = {{"q", M.Question},
+                {"from", M.From},
+                {"x", M.Exchange},
+                {"records", M.Epochs.Records},
+                {"acknowledged", M.Epochs.Acknowledged}};
+  if (!M.Epochs.Answered.empty())
+    Value["answered"] = M.Epochs.Answered;
+  json Positions = json::array();
+  for (const PeerPosition &P : M.Positions)
+    Positions.push_back(
+        {P.Service, P.Epoch, P.At.Term, P.At.Index, toMicros(P.Age)});
+  Value["positions"] = std::move(Positions);
+  json Grants = json::array();
+  for (const PeerGrant &G : M.Grants)
+    Grants.push_back({G.Service, G.Epoch, toMicros(G.Left)});
+  Value["grants"] = std::move(Grants);
+  json Records = json::array();
+  for (const PeerRecord &R : M.Records)
+    Records.push_back({R.Record.Service, R.Record.Epoch,
+                       static_cast<unsigned>(R.Record.Stage), R.Record.Primary,
+                       R.Record.Term, R.Revision});
+  Value["groups"] = std::move(Records);
+  Value["groups_digest"] = M.RecordsDigest;
+  Value["servers_digest"] = M.ServersDigest;
+  Value["rules"] = M.RulesRevision;
+  Value["checked"] = toMicros(M.CheckAge);
+  Value["outside"] = toMicros(M.OutsideAge);
+  std::string Bytes;
+  json::to_msgpack(Value, Bytes);
+  return Bytes;
+}
+
+Result<PeerMessage> decodePeerMessage(const std::string &Bytes) {
+  using Epochs = std::map<std::string, std::uint64_t, std::less<>>;
+  try {
+    json Value = json::from_msgpack(Bytes);
+    PeerMessage M;
+    M.Question = Value.at("q").get<bool>();
+    M.From = Value.at("from").get<std::string>();
+    M.Exchange = Value.at("x").get<std::uint64_t>();
+    M.Probe = Value.value("p", false);
+    if (M.Probe)
+      return Result<PeerMessage>::success(std::move(M));
+    M.Epochs.Records = Value.at("records").get<Epochs>();
+    M.Epochs.Acknowledged = Value.at("acknowledged").get<Epochs>();
+    if (Value.contains("answered"))
+      M.Epochs.Answered =
+          Value.at("answered")
+              .get<std::map<std::string, std::set<ProxyId, std::less<>>,
+                            std::less<>>>();
+    for (const json &P : Value.at("positions"))
+      M.Positions.push_back(
+          {P.at(0).get<std::string>(),
+           P.at(1).get<std::uint64_t>(),
+           {P.at(2).get<std::uint64_t>(), P.at(3).get<std::uint64_t>()},
+           std::chrono::microseconds(P.at(4).get<std::uint64_t>())});
+    for (const json &G : Value.at("grants"))
+      M.Grants.push_back(
+          {G.at(0).get<std::string>(), G.at(1).get<std::uint64_t>(),
+           std::chrono::microseconds(G.at(2).get<std::int64_t>())});
+    for (const json &R : Value.at("groups"))
+      M.Records.push_back(
+          {{R.at(0).get<std::string>(), R.at(1).get<std::uint64_t>(),
+            R.at(2).get<unsigned>() == 0 ? GroupStage::Stable
+                                         : GroupStage::Revoking,
+            R.at(3).get<std::string>(), R.at(4).get<std::uint64_t>()},
+           R.at(5).get<std::uint64_t>()});
+    M.RecordsDigest = Value.at("groups_digest").get<std::uint64_t>();
+    M.ServersDigest = Value.at("servers_digest").get<std::uint64_t>();
+    M.RulesRevision = Value.at("rules").get<std::uint64_t>();
+    M.CheckAge =
+        std::chrono::microseconds(Value.at("checked").get<std::int64_t>());
+    M.OutsideAge =
+        std::chrono::microseconds(Value.at("outside").get<std::int64_t>());
+    return Result<PeerMessage>::success(std::move(M));
+  } catch (const json::exception &E) {
+    return Result<PeerMessage>::failure({{"datagram", "", E.what()}});
+  }
+}
+
+} // namespace eelgrassloom
