A duty holder in the minority takes no primary from the others

Two failure domains reported it, so the holder revoked it, could not get a release quorum, evicted 20 proxies of the other part and published the same primary again when the split had healed. Meanwhile nobody used it. Now a primary that is reported as unreachable is revoked only if a release quorum of the proxies was heard, or has checked the store, since the report; the holder asks all with short datagrams while a report lasts. After 10 s it is revoked all the same, so that no odd partition can keep a lost primary. Ruled out: counting a failure domain as reached when its checker is (a split goes through failure domains; the new test of a fleet found it). With the rule left out the new tests of the kernel and of the fleet fail.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -62,7 +62,10 @@
   Duration RevokingProxiesInterval = std::chrono::milliseconds(120);
   /// Interval of log lines on a replacement that is in progress.
   Duration PromotionNotes = std::chrono::milliseconds(500);
-  /// Interval at which acknowledgements are asked for.
+  /// A proxy that was heard or has checked the store within this time is taken
+  /// as reachable; above the interval of checks and the time of an answer.
+  Duration ReachableTime = std::chrono::milliseconds(1000);
+  /// Interval at which acknowledgements, or signs of life, are asked for.
   Duration AskInterval = std::chrono::milliseconds(200);
   Duration DutyInterval = std::chrono::milliseconds(100);
   Duration DutyLease = std::chrono::milliseconds(1500);
@@ -156,6 +159,8 @@
     /// What proxies have told this one while it held the duty.
     std::map<ProxyId, KnownEpochs, std::less<>> Told;
     Instant NextAsk;
+    /// Since when some proxy has reported a primary as unreachable.
+    std::optional<Instant> ReportedSince;
   };
 
   Coordinator(ProxyId Self, std::uint64_t Seed, Engine &Target, Store &Platform,
@@ -236,6 +241,11 @@
   void promoteGroups();
   /// An earlier holder of the duty may have called a promotion in this epoch.
   bool calledBefore(const KnownGroup &G) const;
+  /// Some proxy can't reach a primary.
+  bool primaryReported() const;
+  /// Proxies that were heard, or have checked the store, since a primary was
+  /// reported as unreachable, and this one.
+  std::optional<std::size_t> reachableProxies() const;
   PromotionInput inputOf(const KnownGroup &G) const;
   /// Asks for what the proxies have acknowledged but could not store.
   void askAcknowledgements();
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -144,6 +144,10 @@
     AnswerHeard = std::move(Handler);
   }
 
+  /// Asks all registered proxies whether they answer at all.
+  void probeAll();
+  /// When anything was last heard from a proxy.
+  Instant heardAt(const ProxyId &Id) const;
   /// This proxy will leave: from now on its answers extend no permissions.
   void stopExtending() { Stopping = true; }
   /// Proxies whose questions were answered after \p Since.
@@ -169,6 +173,8 @@
   /// Two questions to the checker were not answered.
   bool checkerSilent(Instant Now) const;
   void probeOutside(Instant Now);
+  std::string probeMessage();
+  bool isOutside(const ProxyId &Id) const;
   void startRound(Instant Now);
   void answerProbe(const std::string &Address, std::uint64_t Exchange);
   void answer(const std::string &Address, const PeerMessage &Question);
@@ -191,6 +197,7 @@
   /// By service.
   std::map<std::string, PeerRecord, std::less<>> Records;
   std::uint64_t RecordsDigest = 0;
+  std::map<ProxyId, Instant, std::less<>> HeardAt;
   /// When a question of the proxy was last answered.
   std::map<ProxyId, Instant, std::less<>> AnsweredAt;
   RelayHandler Relayed;
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -63,10 +63,13 @@
     return;
   }
   const PeerMessage &M = Message.value();
+  HeardAt[M.From] = Target.runtime().Now();
   if (M.Probe && M.Question)
     answerProbe(FromAddress, M.Exchange);
-  else if (M.Probe)
+  else if (M.Probe && isOutside(M.From))
     OutsideHeardAt = Target.runtime().Now();
+  else if (M.Probe)
+    return;
   else if (M.Question)
     answer(FromAddress, M);
   else
@@ -290,17 +293,39 @@
     ask(*P, AnyExchange);
 }
 
+std::string Peers::probeMessage() {
+  PeerMessage M;
+  M.Probe = true;
+  M.From = Self;
+  M.Exchange = NextExchange++;
+  return encode(M);
+}
+
+bool Peers::isOutside(const ProxyId &Id) const {
+  return std::any_of(Known.begin(), Known.end(), [&](const PeerInfo &P) {
+    return P.Id == Id && P.FailureDomain != FailureDomain;
+  });
+}
+
+void Peers::probeAll() {
+  std::string Bytes = probeMessage();
+  for (const PeerInfo &P : Known)
+    if (P.Id != Self && !P.Address.empty())
+      Send(P.Address, Bytes);
+}
+
+Instant Peers::heardAt(const ProxyId &Id) const {
+  auto It = HeardAt.find(Id);
+  return It == HeardAt.end() ? Instant() : It->second;
+}
+
 void Peers::probeOutside(Instant Now) {
   NextProbe = Now + OutsideProbeInterval;
   std::map<std::string, std::vector<const PeerInfo *>> Domains;
   for (const PeerInfo &P : Known)
     if (P.FailureDomain != FailureDomain && !P.Address.empty())
       Domains[P.FailureDomain].push_back(&P);
-  PeerMessage M;
-  M.Probe = true;
-  M.From = Self;
-  M.Exchange = NextExchange++;
-  std::string Bytes = encode(M);
+  std::string Bytes = probeMessage();
   for (const auto &[Domain, Members] : Domains)
     Send(Members[Random() % Members.size()]->Address, Bytes);
 }
--- a/packages/control/src/registry.cpp
+++ b/packages/control/src/registry.cpp
@@ -125,7 +125,7 @@
       continue;
     CheckMark &Known = Checks[Item.Key.substr(CheckMarkPrefix.size())];
     if (Known.Revision != Item.Revision)
-      Known = {Item.Revision, now()};
+      Known = {Item.Revision, now(), Known.Revision != 0};
   }
 }
 
--- a/packages/control/src/replace.cpp
+++ b/packages/control/src/replace.cpp
@@ -12,6 +12,31 @@
   return Call != Duty.Calls.end() && Call->second == G.Record.Epoch;
 }
 
+bool Coordinator::primaryReported() const {
+  return std::any_of(
+      Proxies.begin(), Proxies.end(), [this](const ProxyReport &Report) {
+        return std::any_of(
+            Groups.begin(), Groups.end(), [&](const auto &Entry) {
+              return Report.Unreachable.count(Entry.second.Record.Primary) != 0;
+            });
+      });
+}
+
+std::optional<std::size_t> Coordinator::reachableProxies() const {
+  if (Others == nullptr)
+    return std::nullopt;
+  // What was heard before the primary was lost proves nothing.
+  Instant Since = std::max(*Duty.ReportedSince, now() - Options.ReachableTime);
+  return static_cast<std::size_t>(std::count_if(
+      Proxies.begin(), Proxies.end(), [&](const ProxyReport &Report) {
+        auto Check = Checks.find(Report.Id);
+        bool Checked = Check != Checks.end() && Check->second.Renewed &&
+                       Check->second.SeenAt > Since;
+        return Report.Id == Self || Checked ||
+               Others->heardAt(Report.Id) > Since;
+      }));
+}
+
 PromotionInput Coordinator::inputOf(const KnownGroup &G) const {
   PromotionInput In;
   In.Record = G.Record;
@@ -41,6 +66,13 @@
 void Coordinator::promoteGroups() {
   if (!ServersKnown || ProxiesReadAt == Instant())
     return;
+  bool Reported = primaryReported();
+  if (!Reported)
+    Duty.ReportedSince.reset();
+  else if (!Duty.ReportedSince)
+    Duty.ReportedSince = now();
+  std::optional<std::size_t> Reachable =
+      Reported ? reachableProxies() : std::nullopt;
   bool Revoking = false;
   for (const auto &Entry : Target.rules().Services) {
     const std::string &Service = Entry.first;
@@ -52,6 +84,7 @@
     if (G.Busy || (Begins && StoppingAt))
       continue;
     PromotionInput In = inputOf(G);
+    In.Reachable = Reachable;
     bool Waiting = !G.Promotion.Released;
     for (const PromotionAction &Action : step(G.Promotion, In, now()))
       perform(Service, Action);
@@ -67,14 +100,11 @@
     askAcknowledgements();
   if (!StoreUp)
     return; // Nothing can be stored now; the reads can wait.
-  // Reports of a lost primary must be seen soon as well.
-  bool Reported = std::any_of(
-      Proxies.begin(), Proxies.end(), [this](const ProxyReport &Report) {
-        return std::any_of(
-            Groups.begin(), Groups.end(), [&](const auto &Entry) {
-              return Report.Unreachable.count(Entry.second.Record.Primary) != 0;
-            });
-      });
+  // What is reported must be confirmed soon.
+  if (Reported && Others != nullptr && now() >= Duty.NextAsk) {
+    Duty.NextAsk = now() + Options.AskInterval;
+    Others->probeAll();
+  }
   Instant Next = now() + (Revoking || Reported ? Options.RevokingProxiesInterval
                                                : Options.DutyProxiesInterval);
   NextProxies = std::min(NextProxies, Next);
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -194,9 +194,9 @@
   };
   P->Events = std::make_unique<EventWriter>(Id, [] { return std::int64_t{0}; });
   P->Counters = Metrics::create();
-  Dialer Dial = [this](const ServerEntry &E, Duration Timeout,
-                       std::function<void(DialResult)> Done) {
-    if (Reachable.count(E.Id) == 0)
+  Dialer Dial = [this, Id](const ServerEntry &E, Duration Timeout,
+                           std::function<void(DialResult)> Done) {
+    if (Reachable.count(E.Id) == 0 || Blocked[Id].count(E.Id) != 0)
       Time.after(Timeout, [Done] { Done({DialOutcome::TimedOut, {}, {}}); });
     else
       Time.after(AnswerTime, [this, Done, Id = E.Id] {
@@ -244,7 +244,8 @@
   P->Others = Peers::create(
       Id, Domain, 7, *P->Sessions,
       [this, Id, Domain](const std::string &To, const std::string &Bytes) {
-        if (Isolated.count(Id) != 0 || Isolated.count(To) != 0)
+        if (Isolated.count(Id) != 0 || Isolated.count(To) != 0 ||
+            Apart.count(Id) != Apart.count(To))
           return;
         Time.after(1ms, [this, Id, Domain, To, Bytes] {
           for (auto &Other : Members)
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -120,6 +120,10 @@
   std::vector<std::unique_ptr<FakeProxy>> Members;
   /// Proxies that receive no datagrams.
   std::set<std::string> Isolated;
+  /// Proxies that exchange datagrams only with each other.
+  std::set<std::string> Apart;
+  /// Servers that a proxy can't reach.
+  std::map<std::string, std::set<UpstreamId>> Blocked;
   /// Failure domains that are cut off from the store and from the others.
   std::set<std::string> CutDomains;
   void cutDomain(const std::string &Domain);
--- a/packages/control/test/release-test.cpp
+++ b/packages/control/test/release-test.cpp
@@ -218,6 +218,30 @@
   CHECK_FALSE(F.proxy(Holder).Control->holdsDuty());
 }
 
+// Failure pattern: the fleet is split. The smaller part has the store and the
+// duty, the larger one the primary; it can't be replaced before they meet.
+TEST_CASE("a minority does not revoke a primary that others use") {
+  Fleet F(12, 3);
+  F.advance(12s);
+  std::size_t Holder = 0;
+  while (!F.proxy(Holder).Control->holdsDuty())
+    ++Holder;
+  for (std::size_t I = 0; I < 12; ++I) {
+    const std::string &Id = F.proxy(I).Id;
+    if ((I + 12 - Holder) % 12 < 5) {
+      F.Apart.insert(Id);
+      F.Blocked[Id].insert("a");
+    } else {
+      F.Keys.CutOff.insert(Id);
+    }
+  }
+  F.advance(7s);
+  CHECK(F.record().Stage == GroupStage::Stable);
+  F.Apart.clear();
+  CHECK(timeToPromotion(F, 5s) < 1500ms);
+  CHECK_FALSE(formerPrimaryPermitted(F));
+}
+
 // Failure pattern: the duty holder alone has lost the store and hears from
 // peers that its successor revokes a primary, which it would restore.
 TEST_CASE("a duty holder without the store changes nothing") {
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -65,6 +65,9 @@
   std::uint64_t Revision = 0;
   /// When the duty holder first saw this revision.
   Instant SeenAt;
+  /// It has replaced another one that was seen before, so the check was made
+  /// not long before SeenAt.
+  bool Renewed = false;
 };
 using CheckMarks = std::map<ProxyId, CheckMark, std::less<>>;
 
@@ -94,6 +97,10 @@
   double UnreachableShare = 0.34;
   /// The reports must hold for this long.
   Duration ConfirmTime = std::chrono::milliseconds(300);
+  /// A holder that reaches no release quorum revokes no primary for being
+  /// unreachable within this time: it would only take it from those who can
+  /// use it.
+  Duration MinorityTime = std::chrono::seconds(10);
   /// A missing registry entry counts as a lost server after this time.
   Duration MissingTime = std::chrono::milliseconds(3500);
   /// Interval of status questions while a group is being replaced.
@@ -192,6 +199,9 @@
   /// Checks of all proxies that ever made one, read by the same call; null if
   /// they were not read.
   const CheckMarks *Checks = nullptr;
+  /// Registered proxies that have shown lately that they would learn of a
+  /// revocation; empty if that is not known.
+  std::optional<std::size_t> Reachable;
   /// Registered servers of all groups.
   std::size_t AllServers = 0;
   /// Registered servers of the group.
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -91,6 +91,11 @@
       StoreRecord{{In.Record.Service, 1, GroupStage::Stable, Primary->Id}, {}}};
 }
 
+/// Failure pattern: the fleet is split, and the holder is in the smaller part.
+bool inMinority(const PromotionInput &In) {
+  return In.Reachable && *In.Reachable < releaseQuorum(In.Proxies->size());
+}
+
 std::vector<PromotionAction> stepStable(PromotionState &S,
                                         const PromotionInput &In, Instant Now) {
   if (S.Epoch != In.Record.Epoch) {
@@ -106,6 +111,9 @@
   if (Reason == ReplaceReason::None ||
       Now - S.ReasonSince < confirmTime(S.Options, Reason) || !hasSuccessor(In))
     return {};
+  if (Reason == ReplaceReason::Unreachable && inMinority(In) &&
+      Now - S.ReasonSince < S.Options.MinorityTime)
+    return {};
   PrimaryRecord Next = In.Record;
   ++Next.Epoch;
   Next.Stage = GroupStage::Revoking;
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -114,6 +114,35 @@
 }
 
 // Guards against proxies that are cut off themselves.
+// Failure pattern: the fleet is split, and the duty holder is in the smaller
+// part.
+TEST_CASE("a holder in the minority takes no primary from the others") {
+  Scene X;
+  X.report(3);
+  X.In.Reachable = 4;
+  X.tick();
+  CHECK_FALSE(X.stored(X.tick(1s)));
+  X.In.Reachable = 5;
+  CHECK(X.stored(X.tick()));
+}
+
+TEST_CASE("a holder in the minority revokes a primary after all") {
+  Scene X;
+  X.report(3);
+  X.In.Reachable = 4;
+  X.tick();
+  CHECK_FALSE(X.stored(X.tick(9s)));
+  CHECK(X.stored(X.tick(1s)));
+}
+
+TEST_CASE("a holder in the minority replaces a leaving primary") {
+  Scene X;
+  X.In.Servers[0].Draining = true;
+  X.In.Reachable = 1;
+  X.tick();
+  CHECK(X.stored(X.tick(500ms)));
+}
+
 TEST_CASE("a proxy that can't reach most servers is not believed") {
   Scene X;
   X.report(4);
