Probe all proxies on their own timer; bound what is remembered of peers

An acknowledgement that one group waits for would have kept the holder from asking whether the fleet can be reached for another group. Entries for senders that are not registered are dropped with each list of the proxies.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -65,7 +65,7 @@
   /// A proxy that was heard or has checked the store within this time is taken
   /// as reachable; above the interval of checks and the time of an answer.
   Duration ReachableTime = std::chrono::milliseconds(1000);
-  /// Interval at which acknowledgements, or signs of life, are asked for.
+  /// Interval at which acknowledgements, and signs of life, are asked for.
   Duration AskInterval = std::chrono::milliseconds(200);
   Duration DutyInterval = std::chrono::milliseconds(100);
   Duration DutyLease = std::chrono::milliseconds(1500);
@@ -159,6 +159,7 @@
     /// What proxies have told this one while it held the duty.
     std::map<ProxyId, KnownEpochs, std::less<>> Told;
     Instant NextAsk;
+    Instant NextProbe;
     /// Since when some proxy has reported a primary as unreachable.
     std::optional<Instant> ReportedSince;
   };
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -172,6 +172,7 @@
   void ask(const PeerInfo &Peer, std::uint64_t Exchange);
   /// Two questions to the checker were not answered.
   bool checkerSilent(Instant Now) const;
+  void forgetOld();
   void probeOutside(Instant Now);
   std::string probeMessage();
   bool isOutside(const ProxyId &Id) const;
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -52,6 +52,19 @@
   if (Checkers.size() > detail::CheckersKnown)
     Checkers.resize(detail::CheckersKnown);
   Target.setPeers(Known);
+  forgetOld();
+}
+
+/// Any datagram may add an entry.
+void Peers::forgetOld() {
+  Instant Now = Target.runtime().Now();
+  std::erase_if(AnsweredAt, [&](const auto &Entry) {
+    return Now - Entry.second > Lease + PrimaryLeaseMargin;
+  });
+  std::erase_if(HeardAt, [&](const auto &Entry) {
+    return std::none_of(Known.begin(), Known.end(),
+                        [&](const PeerInfo &P) { return P.Id == Entry.first; });
+  });
 }
 
 void Peers::received(const std::string &FromAddress, const std::string &Bytes) {
--- a/packages/control/src/replace.cpp
+++ b/packages/control/src/replace.cpp
@@ -101,8 +101,8 @@
   if (!StoreUp)
     return; // Nothing can be stored now; the reads can wait.
   // What is reported must be confirmed soon.
-  if (Reported && Others != nullptr && now() >= Duty.NextAsk) {
-    Duty.NextAsk = now() + Options.AskInterval;
+  if (Reported && Others != nullptr && now() >= Duty.NextProbe) {
+    Duty.NextProbe = now() + Options.AskInterval;
     Others->probeAll();
   }
   Instant Next = now() + (Revoking || Reported ? Options.RevokingProxiesInterval
