--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -1,7 +1,8 @@
 /// \file
 /// Coordination of the proxies through the store: rules, servers, permissions
-/// to use primaries, and the promotion duty. There is no protocol between the
-/// proxies; whatever must be agreed is a conditional change of the store.
+/// to use primaries, and the promotion duty. Whatever must be agreed is a
+/// conditional change of the store; datagrams between the proxies spare calls
+/// and shorten waits.
 
 #ifndef EELGRASSLOOM_CONTROL_COORDINATOR_H
 #define EELGRASSLOOM_CONTROL_COORDINATOR_H
