--- a/packages/ctl/include/ctl/logs.h
+++ b/packages/ctl/include/ctl/logs.h
@@ -42,7 +42,7 @@
   bool Promotions = false;
   /// Also shows changes of state within this many ms of a selected line, if
   /// they concern the same database or none.
-  std::optional<std::int64_t> ContextMs;
+  std::optional<std::uint32_t> ContextMs;
 };
 
 struct LogArguments {
--- a/packages/ctl/src/arguments.cpp
+++ b/packages/ctl/src/arguments.cpp
@@ -1,11 +1,8 @@
 #include "ctl/arguments.h"
 #include "kernel/model.h"
-#include <charconv>
+#include "runtime/options.h"
 #include <fstream>
 #include <google/protobuf/util/json_util.h>
-#include <memory>
-#include <optional>
-#include <popt.h>
 #include <sstream>
 
 namespace eelgrassloom {
@@ -50,15 +47,6 @@
     {"limit", 0, POPT_ARG_STRING, nullptr, LimitFlag, nullptr, nullptr},
     POPT_TABLEEND};
 
-std::optional<std::uint32_t> number(const std::string &Text) {
-  std::uint32_t Value = 0;
-  const char *End = Text.data() + Text.size();
-  auto [Rest, Error] = std::from_chars(Text.data(), End, Value);
-  if (Error != std::errc() || Rest != End || Text.empty())
-    return std::nullopt;
-  return Value;
-}
-
 /// Collects arguments and everything that is wrong with them.
 class Reader {
 public:
@@ -117,7 +105,7 @@
       takePriority(Class, Value);
     else if (Which == DurabilityFlag)
       takeDurability(Class, Value);
-    else if (auto Millis = number(Value))
+    else if (auto Millis = parseNumber(Value))
       Class.set_staleness_bound_ms(*Millis);
     else
       Findings.push_back({"--staleness-ms", Value, "a number of milliseconds"});
@@ -157,7 +145,7 @@
       A.Timeline.set_plan(Value);
       break;
     default:
-      auto Limit = number(Value);
+      auto Limit = parseNumber(Value);
       if (Limit && *Limit > 0)
         A.Timeline.set_limit(*Limit);
       else
@@ -166,28 +154,6 @@
   }
 };
 
-/// Reads the flags; returns the words between them.
-std::vector<std::string> readFlags(int Argc, const char **Argv, Reader &R) {
-  std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
-      poptGetContext(nullptr, Argc, Argv, Options, 0), poptFreeContext);
-  for (int Next; (Next = poptGetNextOpt(Context.get())) != -1;) {
-    if (Next < -1) {
-      R.Findings.push_back({poptBadOption(Context.get(), 0), poptStrerror(Next),
-                            "the flags that --help lists"});
-      if (Next != POPT_ERROR_BADOPT && Next != POPT_ERROR_NOARG)
-        break;
-      continue;
-    }
-    std::unique_ptr<char, decltype(&free)> Value(poptGetOptArg(Context.get()),
-                                                 &free);
-    R.take(Next, Value ? Value.get() : "");
-  }
-  std::vector<std::string> Words;
-  while (const char *Word = poptGetArg(Context.get()))
-    Words.emplace_back(Word);
-  return Words;
-}
-
 void readIntentFile(const std::string &Path, Reader &R) {
   std::ifstream In(Path);
   std::ostringstream Text;
@@ -264,7 +230,10 @@
 Result<CtlArguments> parseCtl(int Argc, const char **Argv,
                               const Environment &Env) {
   detail::Reader R;
-  std::vector<std::string> Words = detail::readFlags(Argc, Argv, R);
+  std::vector<std::string> Words = readOptions(
+      Argc, Argv, detail::Options,
+      [&](int Which, const std::string &Value) { R.take(Which, Value); },
+      R.Findings);
   if (R.Findings.empty() && (R.Help || R.Version)) {
     R.A.Command = R.Help ? CtlCommand::Help : CtlCommand::Version;
     return Result<CtlArguments>::success(std::move(R.A));
--- a/packages/ctl/src/logs.cpp
+++ b/packages/ctl/src/logs.cpp
@@ -1,13 +1,11 @@
 #include "ctl/logs.h"
+#include "runtime/options.h"
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <ctime>
 #include <fstream>
 #include <iostream>
-#include <memory>
 #include <nlohmann/json.hpp>
-#include <popt.h>
 
 namespace eelgrassloom {
 namespace detail {
@@ -52,14 +50,12 @@
 }
 
 template <class Number>
-bool takeNumber(const std::string &Flag, const std::string &Text, Number &Into,
+void takeNumber(const std::string &Flag, const std::string &Text, Number &Into,
                 std::vector<Finding> &Findings) {
-  const char *End = Text.data() + Text.size();
-  auto [Rest, Error] = std::from_chars(Text.data(), End, Into);
-  bool Good = Error == std::errc() && Rest == End && Into >= 0;
-  if (!Good)
+  if (auto Value = parseNumber<Number>(Text))
+    Into = *Value;
+  else
     Findings.push_back({Flag, Text, "a number from 0"});
-  return Good;
 }
 
 void takeFlag(int Which, const std::string &Value, LogArguments &A,
@@ -102,7 +98,7 @@
 
 /// Changes of state around the selected lines.
 bool inContext(const LogLine &L, const std::vector<LogLine> &Selected,
-               std::int64_t ContextMs) {
+               std::uint32_t ContextMs) {
   if (aboutStatement(L) || L.Event == LinesDroppedEvent)
     return false;
   // Both are sorted by time.
@@ -156,20 +152,12 @@
 Result<LogArguments> parseLogArguments(int Argc, const char **Argv) {
   LogArguments A;
   std::vector<Finding> Findings;
-  std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> Context(
-      poptGetContext(nullptr, Argc, Argv, detail::LogOptions, 0),
-      poptFreeContext);
-  int Next;
-  while ((Next = poptGetNextOpt(Context.get())) > 0) {
-    std::unique_ptr<char, decltype(&free)> Value(poptGetOptArg(Context.get()),
-                                                 &free);
-    detail::takeFlag(Next, Value ? Value.get() : "", A, Findings);
-  }
-  if (Next < -1)
-    Findings.push_back({poptBadOption(Context.get(), 0), poptStrerror(Next),
-                        "the flags that --help lists"});
-  while (const char *File = poptGetArg(Context.get()))
-    A.Files.emplace_back(File);
+  A.Files = readOptions(
+      Argc, Argv, detail::LogOptions,
+      [&](int Which, const std::string &Value) {
+        detail::takeFlag(Which, Value, A, Findings);
+      },
+      Findings);
   if (A.Files.empty())
     Findings.push_back({"logs", "", "files with logs, or -"});
   if (!Findings.empty())
--- a/packages/runtime/src/settings.cpp
+++ b/packages/runtime/src/settings.cpp
@@ -1,11 +1,9 @@
 #include "runtime/settings.h"
+#include "runtime/options.h"
 #include <algorithm>
 #include <arpa/inet.h>
-#include <charconv>
 #include <functional>
-#include <memory>
 #include <optional>
-#include <popt.h>
 #include <sstream>
 
 namespace eelgrassloom {
@@ -53,18 +51,9 @@
   };
 }
 
-std::optional<unsigned> number(const std::string &Text) {
-  unsigned Value = 0;
-  const char *End = Text.data() + Text.size();
-  auto [Rest, Error] = std::from_chars(Text.data(), End, Value);
-  if (Error != std::errc() || Rest != End || Text.empty())
-    return std::nullopt;
-  return Value;
-}
-
 Store millis(Duration Settings::*Member, unsigned Min, unsigned Max) {
   return [=](Settings &S, const std::string &Text) {
-    auto Value = number(Text);
+    auto Value = parseNumber(Text);
     if (!Value || *Value < Min || *Value > Max)
       return false;
     S.*Member = std::chrono::milliseconds(*Value);
@@ -74,7 +63,7 @@
 
 Store count(unsigned Settings::*Member, unsigned Min, unsigned Max) {
   return [=](Settings &S, const std::string &Text) {
-    auto Value = number(Text);
+    auto Value = parseNumber(Text);
     if (!Value || *Value < Min || *Value > Max)
       return false;
     S.*Member = *Value;
@@ -198,33 +187,19 @@
   Options.push_back({nullptr, 0, 0, nullptr, 0, nullptr, nullptr});
 
   Flags Out;
-  std::unique_ptr<std::remove_pointer_t<poptContext>,
-                  poptContext (*)(poptContext)>
-      Context(poptGetContext(nullptr, Argc, Argv, Options.data(), 0),
-              poptFreeContext);
-  for (int Next; (Next = poptGetNextOpt(Context.get())) != -1;) {
-    if (Next < -1) {
-      Out.Findings.push_back({poptBadOption(Context.get(), 0),
-                              poptStrerror(Next),
-                              "the flags that --help lists"});
-      if (Next == POPT_ERROR_BADOPT || Next == POPT_ERROR_NOARG)
-        continue;
-      break;
-    }
-    if (Next == HelpFlag)
+  auto Take = [&](int Which, const std::string &Value) {
+    if (Which == HelpFlag)
       Out.Request = SettingsRequest::Help;
-    else if (Next == VersionFlag)
+    else if (Which == VersionFlag)
       Out.Request = SettingsRequest::Version;
-    else if (Next == CheckFlag)
+    else if (Which == CheckFlag)
       Out.Request = SettingsRequest::Check;
-    else {
-      std::unique_ptr<char, decltype(&free)> Value(poptGetOptArg(Context.get()),
-                                                   &free);
-      Out.Values[table()[static_cast<std::size_t>(Next - FirstSetting)].Flag] =
-          Value ? Value.get() : "";
-    }
-  }
-  while (const char *Extra = poptGetArg(Context.get()))
+    else
+      Out.Values[table()[static_cast<std::size_t>(Which - FirstSetting)].Flag] =
+          Value;
+  };
+  for (const std::string &Extra :
+       readOptions(Argc, Argv, Options.data(), Take, Out.Findings))
     Out.Findings.push_back({"argument", Extra, "flags only"});
   return Out;
 }
@@ -293,7 +268,7 @@
   if (Colon == std::string::npos)
     return false;
   in_addr Ip{};
-  auto Port = detail::number(Text.substr(Colon + 1));
+  auto Port = parseNumber(Text.substr(Colon + 1));
   return inet_pton(AF_INET, Text.substr(0, Colon).c_str(), &Ip) == 1 && Port &&
          *Port > 0 && *Port <= 65535;
 }
