Control: one copy of repeated steps, and less work for each tick

- What is the same for all groups is computed once for each round of the duty, not once for each group (outstanding calls, reachable proxies).
- The epochs that peers see are rebuilt once a tick, not twice.
- The mark is looked for among the conditions only until the first answer.
- ChecksKnown follows from the marks; one function each for sending to proxies, for probes, for finding a registered proxy and for the time of a permission.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -218,9 +218,17 @@
   bool mustCheckAgain() const;
   void applyServers(const std::vector<StoreItem> &Items);
   void readProxies();
+  void applyProxies(const std::vector<StoreItem> &Items, Instant SentAt);
+  void noteCheckMarks(const std::vector<StoreItem> &Items);
   void watchGroups();
 
   // The own record.
+  /// Learns from the first check how the earlier run of this proxy has ended.
+  void noteEarlierRun(const std::vector<StoreCondition> &Conditions,
+                      const StoreReply &Reply);
+  /// Adds the proxies that this one has answered to its acknowledgement.
+  void accountForAnswers(const std::string &Service);
+  void refreshWanted();
   void updateOwn();
   void updateEpochs();
   void writeOwn();
@@ -240,6 +248,9 @@
   void noticeTaken(const StoreReply &Reply);
   void readCalls();
   void loseDuty(std::string_view Reason);
+  void stopDuty();
+  /// No replacement is in progress, or this one has tried for long enough.
+  bool dutyFinished() const;
   void promoteGroups();
   /// An earlier holder of the duty may have called a promotion in this epoch.
   bool calledBefore(const KnownGroup &G) const;
@@ -248,7 +259,9 @@
   /// Proxies that were heard, or have checked the store, since a primary was
   /// reported as unreachable, and this one.
   std::optional<std::size_t> reachableProxies() const;
-  PromotionInput inputOf(const KnownGroup &G) const;
+  /// What is the same for all groups.
+  PromotionInput commonInput() const;
+  PromotionInput inputOf(const KnownGroup &G, PromotionInput In) const;
   /// Asks for what the proxies have acknowledged but could not store.
   void askAcknowledgements();
   /// Merges what a proxy told and what it stored.
@@ -264,18 +277,6 @@
   void evict(const EvictProxy &Action);
   void promote(const std::string &Service, const UpstreamId &Server);
 
-  void stopDuty();
-  /// No replacement is in progress, or this one has tried for long enough.
-  bool dutyFinished() const;
-  /// Time after which no permission is left that was given at its begin.
-  Duration permissionTime() const { return Options.Lease + PrimaryLeaseMargin; }
-  /// Learns from the first check how the earlier run of this proxy has ended.
-  void noteEarlierRun(const StoreReply &Reply);
-  /// Adds the proxies that this one has answered to its acknowledgement.
-  void accountForAnswers(const std::string &Service);
-  void applyProxies(const std::vector<StoreItem> &Items, Instant SentAt);
-  void noteCheckMarks(const std::vector<StoreItem> &Items);
-
   const ProxyId Self;
   const std::uint64_t Incarnation;
   std::mt19937_64 Random;
@@ -296,7 +297,6 @@
   /// revision that is still the same in a later read proves that there was no
   /// check in between, however old the first read was.
   CheckMarks Checks;
-  bool ChecksKnown = false;
   Instant StartedAt;
   /// When this proxy began to leave.
   std::optional<Instant> StoppingAt;
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -174,10 +174,13 @@
   bool checkerSilent(Instant Now) const;
   void forgetOld();
   void probeOutside(Instant Now);
-  std::string probeMessage();
-  bool isOutside(const ProxyId &Id) const;
+  std::string probe(bool Question, std::uint64_t Exchange) const;
+  void probeAnswered(const ProxyId &From);
+  /// Null if it is not registered.
+  const PeerInfo *registered(const ProxyId &Id) const;
+  /// Sends to the other registered proxies that \p Wanted accepts.
+  template <class Filter> void sendIf(const std::string &Bytes, Filter Wanted);
   void startRound(Instant Now);
-  void answerProbe(const std::string &Address, std::uint64_t Exchange);
   void answer(const std::string &Address, const PeerMessage &Question);
   void answered(const PeerMessage &Message);
   void hearRecords(const PeerMessage &Message);
--- a/packages/control/include/control/records.h
+++ b/packages/control/include/control/records.h
@@ -50,7 +50,7 @@
   std::set<UpstreamId, std::less<>> Unreachable;
   std::map<std::string, std::uint64_t, std::less<>> Acknowledged;
   /// See KnownEpochs::Answered.
-  std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>> Answered;
+  AnsweredProxies Answered;
 
   bool operator==(const ProxyRecord &) const = default;
 };
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -112,7 +112,6 @@
   tickDuty();
   if (Others == nullptr)
     return;
-  updateEpochs();
   Others->setStoreView({RulesRevision, CheckedAt, ServersDigest});
   bool Silent = storeSilent();
   // While a checker extends the permissions, it alone asks all peers.
@@ -207,11 +206,7 @@
   }
   FailedChecks = 0;
   OwnKnown = true;
-  bool AskedForMark = std::any_of(
-      Conditions.begin(), Conditions.end(),
-      [this](const StoreCondition &C) { return C.Key == checkMarkKey(Self); });
-  if (AskedForMark && !EarlierRunKnown)
-    noteEarlierRun(Reply);
+  noteEarlierRun(Conditions, Reply);
   WatchRevision = std::max(WatchRevision, Reply.Revision);
   CheckedAt = std::max(CheckedAt, SentAt);
   for (const StoreCondition &Condition : Conditions)
--- a/packages/control/src/ownrecord.cpp
+++ b/packages/control/src/ownrecord.cpp
@@ -1,6 +1,7 @@
 // The record of this proxy: registration, reachability, acknowledgements.
 
 #include "control/coordinator.h"
+#include <algorithm>
 
 namespace eelgrassloom {
 
@@ -27,9 +28,8 @@
     Entry.second->dropGrant();
 }
 
-void Coordinator::updateOwn() {
-  if (Leaving)
-    return;
+/// Refreshes what the own record should say.
+void Coordinator::refreshWanted() {
   Wanted.Unreachable.clear();
   for (const auto &[Service, G] : Target.groups()) {
     for (const UpstreamId &Id : G->unreachable())
@@ -49,17 +49,30 @@
                            {"epoch", Known.Record.Epoch},
                            {"after_ms", now() - Known.RevokedSeen}});
   }
+}
+
+void Coordinator::updateOwn() {
+  if (!Leaving)
+    refreshWanted();
   // A peer's question must not be answered with epochs from before an
   // acknowledgement.
   if (Others != nullptr)
     updateEpochs();
-  if (OwnBusy || (registered() && Wanted == Written))
+  if (Leaving || OwnBusy || (registered() && Wanted == Written))
     return;
   if (OwnKnown && now() >= NextOwnWrite)
     writeOwn();
 }
 
-void Coordinator::noteEarlierRun(const StoreReply &Reply) {
+void Coordinator::noteEarlierRun(const std::vector<StoreCondition> &Conditions,
+                                 const StoreReply &Reply) {
+  if (EarlierRunKnown)
+    return;
+  bool Asked = std::any_of(
+      Conditions.begin(), Conditions.end(),
+      [this](const StoreCondition &C) { return C.Key == checkMarkKey(Self); });
+  if (!Asked)
+    return; // Another part of the check.
   EarlierRunKnown = true;
   EarlierRunSilent = true;
   for (const StoreItem &Item : Reply.Items)
@@ -72,10 +85,11 @@
   std::erase_if(Wanted.Answered, [this](const auto &Entry) {
     return Groups[Entry.first].Record.Stage != GroupStage::Revoking;
   });
-  if (!EarlierRunSilent && now() - StartedAt < permissionTime())
+  if (!EarlierRunSilent && now() - StartedAt < permissionTime(Options.Lease))
     Wanted.Answered.erase(Service); // An earlier run may have answered.
   else if (Others != nullptr)
-    Wanted.Answered[Service] = Others->answeredSince(now() - permissionTime());
+    Wanted.Answered[Service] =
+        Others->answeredSince(now() - permissionTime(Options.Lease));
   else
     Wanted.Answered[Service] = {};
 }
@@ -138,7 +152,7 @@
   StoreChange Change;
   Change.Conditions = {{proxyKey(Self), OwnRevision}};
   Change.Deletes = {proxyKey(Self)};
-  if (StoppingAt && now() - *StoppingAt >= permissionTime())
+  if (StoppingAt && now() - *StoppingAt >= permissionTime(Options.Lease))
     Change.Sets = {{checkMarkKey(Self), std::string(LeftMark), 0, 0}};
   Platform.change(Change, Options.CallTimeout,
                   [Done = std::move(Done)](StoreReply) { Done(); });
--- a/packages/control/src/peermessage.cpp
+++ b/packages/control/src/peermessage.cpp
@@ -62,10 +62,7 @@
     M.Epochs.Records = Value.at("records").get<Epochs>();
     M.Epochs.Acknowledged = Value.at("acknowledged").get<Epochs>();
     if (Value.contains("answered"))
-      M.Epochs.Answered =
-          Value.at("answered")
-              .get<std::map<std::string, std::set<ProxyId, std::less<>>,
-                            std::less<>>>();
+      M.Epochs.Answered = Value.at("answered").get<AnsweredProxies>();
     for (const json &P : Value.at("positions"))
       M.Positions.push_back(
           {P.at(0).get<std::string>(),
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -36,6 +36,13 @@
   return P;
 }
 
+template <class Filter>
+void Peers::sendIf(const std::string &Bytes, Filter Wanted) {
+  for (const PeerInfo &P : Known)
+    if (P.Id != Self && !P.Address.empty() && Wanted(P))
+      Send(P.Address, Bytes);
+}
+
 void Peers::setPeers(std::vector<PeerInfo> Registered, Instant ReadAt) {
   Known = std::move(Registered);
   KnownAt = ReadAt;
@@ -59,11 +66,10 @@
 void Peers::forgetOld() {
   Instant Now = Target.runtime().Now();
   std::erase_if(AnsweredAt, [&](const auto &Entry) {
-    return Now - Entry.second > Lease + PrimaryLeaseMargin;
+    return Now - Entry.second > permissionTime(Lease);
   });
   std::erase_if(HeardAt, [&](const auto &Entry) {
-    return std::none_of(Known.begin(), Known.end(),
-                        [&](const PeerInfo &P) { return P.Id == Entry.first; });
+    return registered(Entry.first) == nullptr;
   });
 }
 
@@ -78,11 +84,9 @@
   const PeerMessage &M = Message.value();
   HeardAt[M.From] = Target.runtime().Now();
   if (M.Probe && M.Question)
-    answerProbe(FromAddress, M.Exchange);
-  else if (M.Probe && isOutside(M.From))
-    OutsideHeardAt = Target.runtime().Now();
+    Send(FromAddress, probe(false, M.Exchange));
   else if (M.Probe)
-    return;
+    probeAnswered(M.From);
   else if (M.Question)
     answer(FromAddress, M);
   else
@@ -100,19 +104,9 @@
   M.From = Self;
   M.Exchange = detail::Announcement;
   M.Records = {Record};
-  std::string Bytes = encode(M);
-  for (const PeerInfo &P : Known)
-    if (P.Id != Self && P.FailureDomain == FailureDomain && !P.Address.empty())
-      Send(P.Address, Bytes);
-}
-
-void Peers::answerProbe(const std::string &Address, std::uint64_t Exchange) {
-  PeerMessage M;
-  M.Question = false;
-  M.Probe = true;
-  M.From = Self;
-  M.Exchange = Exchange;
-  Send(Address, encode(M));
+  sendIf(encode(M), [this](const PeerInfo &P) {
+    return P.FailureDomain == FailureDomain;
+  });
 }
 
 void Peers::answer(const std::string &Address, const PeerMessage &Question) {
@@ -168,10 +162,7 @@
   M.From = Self;
   M.Exchange = NextExchange++;
   M.Records = Revoked;
-  std::string Bytes = encode(M);
-  for (const PeerInfo &P : Known)
-    if (P.Id != Self && !P.Address.empty() && Of.count(P.Id) != 0)
-      Send(P.Address, Bytes);
+  sendIf(encode(M), [&](const PeerInfo &P) { return Of.count(P.Id) != 0; });
 }
 
 void Peers::answered(const PeerMessage &M) {
@@ -199,9 +190,7 @@
   if (M.Exchange != Round.Exchange)
     return;
   takePositions(M, Round.StartedAt);
-  bool Member = std::any_of(Known.begin(), Known.end(),
-                            [&](const PeerInfo &P) { return P.Id == M.From; });
-  if (!Member)
+  if (registered(M.From) == nullptr)
     return;
   for (const auto &[Service, G] : Target.groups()) {
     std::uint64_t Epoch = G->record().Epoch;
@@ -306,25 +295,29 @@
     ask(*P, AnyExchange);
 }
 
-std::string Peers::probeMessage() {
+std::string Peers::probe(bool Question, std::uint64_t Exchange) const {
   PeerMessage M;
+  M.Question = Question;
   M.Probe = true;
   M.From = Self;
-  M.Exchange = NextExchange++;
+  M.Exchange = Exchange;
   return encode(M);
 }
 
-bool Peers::isOutside(const ProxyId &Id) const {
-  return std::any_of(Known.begin(), Known.end(), [&](const PeerInfo &P) {
-    return P.Id == Id && P.FailureDomain != FailureDomain;
-  });
+void Peers::probeAnswered(const ProxyId &From) {
+  const PeerInfo *P = registered(From);
+  if (P != nullptr && P->FailureDomain != FailureDomain)
+    OutsideHeardAt = Target.runtime().Now();
 }
 
 void Peers::probeAll() {
-  std::string Bytes = probeMessage();
-  for (const PeerInfo &P : Known)
-    if (P.Id != Self && !P.Address.empty())
-      Send(P.Address, Bytes);
+  sendIf(probe(true, NextExchange++), [](const PeerInfo &) { return true; });
+}
+
+const PeerInfo *Peers::registered(const ProxyId &Id) const {
+  auto It = std::find_if(Known.begin(), Known.end(),
+                         [&](const PeerInfo &P) { return P.Id == Id; });
+  return It == Known.end() ? nullptr : &*It;
 }
 
 Instant Peers::heardAt(const ProxyId &Id) const {
@@ -338,25 +331,20 @@
   for (const PeerInfo &P : Known)
     if (P.FailureDomain != FailureDomain && !P.Address.empty())
       Domains[P.FailureDomain].push_back(&P);
-  std::string Bytes = probeMessage();
+  std::string Bytes = probe(true, NextExchange++);
   for (const auto &[Domain, Members] : Domains)
     Send(Members[Random() % Members.size()]->Address, Bytes);
 }
 
 void Peers::startRound(Instant Now) {
   NextRound = Now + Options.VouchInterval;
-  bool Member = std::any_of(Known.begin(), Known.end(),
-                            [&](const PeerInfo &P) { return P.Id == Self; });
-  if (!Member || Now - KnownAt > ProxyListAge)
+  if (registered(Self) == nullptr || Now - KnownAt > ProxyListAge)
     return;
   PeerMessage M;
   M.From = Self;
   M.Exchange = NextExchange++;
   Round = {M.Exchange, Now, {}};
-  std::string Bytes = encode(M);
-  for (const PeerInfo &P : Known)
-    if (P.Id != Self && !P.Address.empty())
-      Send(P.Address, Bytes);
+  sendIf(encode(M), [](const PeerInfo &) { return true; });
 }
 
 void Peers::tick(bool StoreSilent, bool Vouch) {
--- a/packages/control/src/records.cpp
+++ b/packages/control/src/records.cpp
@@ -86,9 +86,7 @@
     R.Acknowledged =
         Value.at("acknowledged")
             .get<std::map<std::string, std::uint64_t, std::less<>>>();
-    R.Answered = Value.at("answered")
-                     .get<std::map<std::string, std::set<ProxyId, std::less<>>,
-                                   std::less<>>>();
+    R.Answered = Value.at("answered").get<AnsweredProxies>();
     return R;
   });
 }
--- a/packages/control/src/registry.cpp
+++ b/packages/control/src/registry.cpp
@@ -119,7 +119,6 @@
 }
 
 void Coordinator::noteCheckMarks(const std::vector<StoreItem> &Items) {
-  ChecksKnown = true;
   for (const StoreItem &Item : Items) {
     if (!Item.Key.starts_with(CheckMarkPrefix))
       continue;
--- a/packages/control/src/replace.cpp
+++ b/packages/control/src/replace.cpp
@@ -15,10 +15,13 @@
 bool Coordinator::primaryReported() const {
   return std::any_of(
       Proxies.begin(), Proxies.end(), [this](const ProxyReport &Report) {
-        return std::any_of(
-            Groups.begin(), Groups.end(), [&](const auto &Entry) {
-              return Report.Unreachable.count(Entry.second.Record.Primary) != 0;
-            });
+        // Most report nothing.
+        return !Report.Unreachable.empty() &&
+               std::any_of(Groups.begin(), Groups.end(),
+                           [&](const auto &Entry) {
+                             return Report.Unreachable.count(
+                                        Entry.second.Record.Primary) != 0;
+                           });
       });
 }
 
@@ -37,11 +40,9 @@
       }));
 }
 
-PromotionInput Coordinator::inputOf(const KnownGroup &G) const {
+PromotionInput Coordinator::commonInput() const {
   PromotionInput In;
-  In.Record = G.Record;
   In.DutySince = Duty.Since;
-  In.CalledBefore = calledBefore(G);
   In.CallOutstanding =
       std::any_of(Groups.begin(), Groups.end(), [this](const auto &Entry) {
         return Entry.second.Record.Stage == GroupStage::Revoking &&
@@ -49,9 +50,19 @@
       });
   In.Proxies = &Proxies;
   In.ProxiesReadAt = ProxiesReadAt;
-  In.Checks = ChecksKnown ? &Checks : nullptr;
-  In.Statuses = &G.Statuses;
+  // This proxy has made a check, so a read of the marks finds one.
+  In.Checks = Checks.empty() ? nullptr : &Checks;
   In.AllServers = Servers.size();
+  if (Duty.ReportedSince)
+    In.Reachable = reachableProxies();
+  return In;
+}
+
+PromotionInput Coordinator::inputOf(const KnownGroup &G,
+                                    PromotionInput In) const {
+  In.Record = G.Record;
+  In.CalledBefore = calledBefore(G);
+  In.Statuses = &G.Statuses;
   for (const ServerEntry &Server : Servers)
     if (Server.Service == G.Record.Service)
       In.Servers.push_back(Server);
@@ -71,8 +82,7 @@
     Duty.ReportedSince.reset();
   else if (!Duty.ReportedSince)
     Duty.ReportedSince = now();
-  std::optional<std::size_t> Reachable =
-      Reported ? reachableProxies() : std::nullopt;
+  const PromotionInput Common = commonInput();
   bool Revoking = false;
   for (const auto &Entry : Target.rules().Services) {
     const std::string &Service = Entry.first;
@@ -83,8 +93,7 @@
     bool Begins = G.Record.Stage == GroupStage::Stable;
     if (G.Busy || (Begins && StoppingAt))
       continue;
-    PromotionInput In = inputOf(G);
-    In.Reachable = Reachable;
+    PromotionInput In = inputOf(G, Common);
     bool Waiting = !G.Promotion.Released;
     for (const PromotionAction &Action : step(G.Promotion, In, now()))
       perform(Service, Action);
--- a/packages/kernel/include/kernel/primary.h
+++ b/packages/kernel/include/kernel/primary.h
@@ -17,6 +17,12 @@
 /// rates.
 inline constexpr Duration PrimaryLeaseMargin = std::chrono::milliseconds(200);
 
+/// Time after which no permission is left that was given for \p Lease at its
+/// begin.
+constexpr Duration permissionTime(Duration Lease) {
+  return Lease + PrimaryLeaseMargin;
+}
+
 /// Permission of one proxy to use the primary of one group. It ends by itself
 /// on a clock that counts suspensions of the host.
 struct PrimaryGrant {
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -56,7 +56,7 @@
   Instant SeenAt;
   std::string FailureDomain;
   /// See KnownEpochs::Answered.
-  std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>> Answered;
+  AnsweredProxies Answered;
 };
 
 /// The last check of the store by a proxy, as the duty holder last read it.
--- a/packages/kernel/include/kernel/vouch.h
+++ b/packages/kernel/include/kernel/vouch.h
@@ -15,16 +15,20 @@
 
 namespace eelgrassloom {
 
+/// By revoked service: proxies whose questions one has answered.
+using AnsweredProxies =
+    std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>>;
+
 /// Epochs that a proxy knows; only records that it has read from the store in
 /// this run count, because a restarted proxy has forgotten what it
 /// acknowledged.
 struct KnownEpochs {
   std::map<std::string, std::uint64_t, std::less<>> Records;
   std::map<std::string, std::uint64_t, std::less<>> Acknowledged;
-  /// By acknowledged service: proxies whose questions this one answered within
-  /// the lease and its margin before it acknowledged. No entry: it does not
-  /// know, because it had just started.
-  std::map<std::string, std::set<ProxyId, std::less<>>, std::less<>> Answered;
+  /// Proxies whose questions this one answered within the lease and its margin
+  /// before it acknowledged. No entry: it does not know, because it had just
+  /// started.
+  AnsweredProxies Answered;
 };
 
 /// True if the proxy confirms that \p Epoch of \p Service may still be used.
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -136,14 +136,13 @@
 }
 
 bool leasePassed(const PromotionState &S, Instant Since, Instant Now) {
-  return Now - Since >= S.Options.Lease + PrimaryLeaseMargin;
+  return Now - Since >= permissionTime(S.Options.Lease);
 }
 
 /// A proxy without the store keeps its permission only with a quorum and a
 /// recent list of the proxies; after this time neither is left.
 bool allLeasesPassed(const PromotionState &S, Instant Now) {
-  return Now - S.RevokedAt >=
-         ProxyListAge + S.Options.Lease + PrimaryLeaseMargin;
+  return leasePassed(S, S.RevokedAt + ProxyListAge, Now);
 }
 
 bool primaryAnswers(const PromotionState &S, const PromotionInput &In) {
