Log and measure how newer rules reach a proxy

The logs could not tell a proxy that was never told of newer rules from one that could not read them, nor under which version a database was refused.

New events: 111 configuration-read, 112 configuration-heard, 113 configuration-rejected (also for a version that is not newer, which was dropped silently), 166 database-refused. New gauges: eelgrassloom_rules_version, _rules_behind, _rules_check_age_seconds. Tests: rules-test, metrics-test; they fail without the lines.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -9,6 +9,7 @@
 
 #include "control/peers.h"
 #include "control/records.h"
+#include "control/rules.h"
 #include "engine/engine.h"
 #include <random>
 
@@ -37,8 +38,6 @@
   /// questions to the checker, and its timers. Below the rest of the lease.
   Duration RelaySlack = std::chrono::milliseconds(600);
   Duration CallTimeout = std::chrono::milliseconds(900);
-  /// Time for the rules, which may be a megabyte on a slow link.
-  Duration RulesTimeout = std::chrono::seconds(4);
   /// Interval of reads that may be seconds old, at a tenth of the price.
   Duration ServersInterval = std::chrono::milliseconds(1500);
   /// Each so many reads of the servers one is current.
@@ -115,6 +114,8 @@
   bool isolated() const { return Isolated; }
   bool holdsDuty() const { return Duty.Held; }
   std::size_t serverCount() const { return Servers.size(); }
+  /// What is told in the metrics.
+  RulesState rulesState() const;
 
 private:
   struct KnownGroup {
@@ -174,7 +175,6 @@
   /// First reads after the start. They are not part of a check, because a check
   /// that finds changes answers with the value of every key in it, and the
   /// rules may be large.
-  void readRules();
   void readGroups();
 
   // Checks.
@@ -186,7 +186,6 @@
   void checkDone(const std::vector<StoreCondition> &Conditions, Instant SentAt,
                  StoreReply Reply);
   void accept(const StoreItem &Item);
-  void acceptRules(const StoreItem &Item);
   void acceptGroup(const StoreItem &Item);
   void adopt(const PeerRecord &Next);
   /// A record that another proxy has read.
@@ -287,7 +286,7 @@
   Prober Probe;
   CoordinatorOptions Options;
 
-  std::uint64_t RulesRevision = 0;
+  std::unique_ptr<RulesReader> Rules;
   std::map<std::string, KnownGroup, std::less<>> Groups;
   std::vector<ServerEntry> Servers;
   std::map<UpstreamId, Instant, std::less<>> MissingSince;
@@ -342,7 +341,6 @@
   bool EarlierRunSilent = false;
   bool CheckAgain = false;
   bool Isolated = false;
-  bool RulesBusy = false;
   bool ServersBusy = false;
   bool ProxiesBusy = false;
   bool StoreUp = true;
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -29,6 +29,18 @@
       Promote(std::move(Call)), Probe(std::move(Ask)), Options(Values) {
   Wanted.Id = Self;
   Wanted.Incarnation = Incarnation;
+  RulesOptions Reading;
+  Reading.FirstRetry = Options.CheckRetry;
+  Rules = RulesReader::create(Target, Platform, Layout, Reading);
+  Rules->onApplied([this] {
+    for (const auto &Entry : Groups)
+      if (auto G = Target.group(Entry.first))
+        G->setRecord(Entry.second.Record);
+  });
+  Rules->onRead([this] {
+    if (mustCheckAgain())
+      checkSoon();
+  });
 }
 
 std::unique_ptr<Coordinator>
@@ -64,7 +76,7 @@
 
 void Coordinator::start() {
   StartedAt = now();
-  readRules();
+  Rules->start();
   readGroups();
   check();
   readServers();
@@ -72,20 +84,8 @@
   Target.runtime().After(Options.FirstWatch, [this] { watchGroups(); });
 }
 
-void Coordinator::readRules() {
-  RulesBusy = true;
-  Platform.range(Layout.RulesKey, ReadMode::Current, Options.RulesTimeout,
-                 [this](StoreReply Reply) {
-                   RulesBusy = false;
-                   for (const StoreItem &Item : Reply.Items)
-                     if (Item.Key == Layout.RulesKey)
-                       acceptRules(Item);
-                   if (RulesRevision == 0)
-                     Target.runtime().After(Options.CheckRetry,
-                                            [this] { readRules(); });
-                   else if (mustCheckAgain())
-                     checkSoon();
-                 });
+RulesState Coordinator::rulesState() const {
+  return {Target.rules().Version, Rules->behind(), now() - CheckedAt};
 }
 
 void Coordinator::readGroups() {
@@ -112,7 +112,7 @@
   tickDuty();
   if (Others == nullptr)
     return;
-  Others->setStoreView({RulesRevision, CheckedAt, ServersDigest});
+  Others->setStoreView({Rules->revision(), CheckedAt, ServersDigest});
   bool Silent = storeSilent();
   // While a checker extends the permissions, it alone asks all peers.
   Others->tick(Silent, Silent && !checkedByOthers());
@@ -169,8 +169,8 @@
   // Fails, and so answers with the mark, if there was an earlier run.
   if (!EarlierRunKnown)
     Conditions.push_back({checkMarkKey(Self), 0});
-  if (RulesRevision != 0)
-    Conditions.push_back({Layout.RulesKey, RulesRevision});
+  if (Rules->revision() != 0)
+    Conditions.push_back({Layout.RulesKey, Rules->revision()});
   for (const auto &[Service, Rule] : Target.rules().Services) {
     if (Conditions.size() + detail::MarkEntries == MaxStoreEntries) {
       checkPart(Conditions);
@@ -264,7 +264,7 @@
 
 void Coordinator::accept(const StoreItem &Item) {
   if (Item.Key == Layout.RulesKey)
-    acceptRules(Item);
+    Rules->accept(Item);
   else if (Item.Key == proxyKey(Self))
     acceptOwn(Item);
   else if (Item.Key == DutyLockKey) {
@@ -275,23 +275,6 @@
     acceptGroup(Item);
 }
 
-void Coordinator::acceptRules(const StoreItem &Item) {
-  if (Item.Revision <= RulesRevision)
-    return;
-  auto Decoded = Layout.DecodeRules(Item.Value);
-  RulesRevision = Item.Revision;
-  if (!Decoded) {
-    Target.events().write(
-        EngineEvent::InputRejected,
-        {{"key", Item.Key}, {"findings", toString(Decoded.findings())}});
-    return;
-  }
-  Target.setRules(std::move(Decoded).value());
-  for (const auto &Entry : Groups)
-    if (auto G = Target.group(Entry.first))
-      G->setRecord(Entry.second.Record);
-}
-
 void Coordinator::acceptGroup(const StoreItem &Item) {
   auto It = Groups.find(Item.Key.substr(GroupPrefix.size()));
   if (It != Groups.end() && Item.Revision <= It->second.Revision)
--- a/packages/control/src/duty.cpp
+++ b/packages/control/src/duty.cpp
@@ -7,7 +7,7 @@
 
 void Coordinator::tickDuty() {
   Instant Now = now();
-  if (Leaving || RulesRevision == 0 || !registered() || Now < NextDuty)
+  if (Leaving || Rules->revision() == 0 || !registered() || Now < NextDuty)
     return;
   NextDuty = Now + Options.DutyInterval;
   if (StoppingAt && (!Duty.Held || dutyFinished())) {
--- a/packages/control/src/relay.cpp
+++ b/packages/control/src/relay.cpp
@@ -66,9 +66,9 @@
     return;
   // The age was taken after the question was sent.
   Instant Verified = View.AskedAt - Answer.CheckAge;
-  bool NewRules = Answer.RulesRevision > RulesRevision;
-  if (NewRules && !RulesBusy && (StoreUp || now() >= NextCheck))
-    readRules();
+  bool NewRules = Answer.RulesRevision > Rules->revision();
+  Rules->heard(Answer.From, Answer.RulesRevision,
+               StoreUp || now() >= NextCheck);
   bool Newer = newerThanKnown(Answer);
   if (Newer && ChecksRunning == 0 && (StoreUp || now() >= NextCheck))
     check();
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -309,6 +309,13 @@
   return I;
 }
 
+std::size_t Fleet::relayedProxy() {
+  std::size_t I = 0;
+  while (proxy(I).Others->checker())
+    ++I;
+  return I;
+}
+
 Duration Fleet::timeToPromotion(Duration Most, std::size_t Earlier) {
   Instant Start = Time.Now;
   while (Promotions.size() <= Earlier && Time.Now - Start < Most)
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -109,6 +109,8 @@
   std::size_t permittedCount();
   /// The first proxy that holds the duty; there must be one.
   std::size_t holder();
+  /// The first proxy for which another one checks the store.
+  std::size_t relayedProxy();
   /// Time until a promotion beyond the \p Earlier ones is called; \p Most if
   /// none is.
   Duration timeToPromotion(Duration Most, std::size_t Earlier = 0);
--- /dev/null
+++ b/packages/control/test/rules-test.cpp
@@ -0,0 +1,60 @@
+#include "control/rules.h"
+#include "fakestore.h"
+#include <doctest/doctest.h>
+
+using namespace eelgrassloom;
+using namespace eelgrassloom::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool contains(const std::string &Text, const std::string &Part) {
+  return Text.find(Part) != std::string::npos;
+}
+
+} // namespace
+
+// Without these lines a proxy that was never told of newer rules looks like one
+// that could not read them.
+TEST_CASE("each step to newer rules leaves a line") {
+  Fleet F(6, 1);
+  F.advance(10s);
+  std::size_t I = F.relayedProxy();
+  F.proxy(I).Events->take();
+  F.Keys.put("rules", "2");
+  F.advance(2s);
+  std::string Lines = F.proxy(I).Events->take();
+  CHECK(contains(Lines, "\"configuration-heard\""));
+  CHECK(contains(Lines, "\"configuration-read\",\"source\":\"store\","
+                        "\"outcome\":\"ok\""));
+  CHECK(contains(Lines, "\"configuration-applied\",\"version\":2"));
+  CHECK(F.proxy(I).Control->rulesState().Version == 2);
+  CHECK_FALSE(F.proxy(I).Control->rulesState().Behind);
+}
+
+// CONFIG: rules must not come back older.
+TEST_CASE("rules whose version is not newer are rejected with a line") {
+  Fleet F(1);
+  F.advance(2s);
+  F.Keys.put("rules", "5");
+  F.advance(2s);
+  F.proxy(0).Events->take();
+  F.Keys.put("rules", "4");
+  F.advance(2s);
+  CHECK(F.proxy(0).Sessions->rules().Version == 5);
+  CHECK(contains(F.proxy(0).Events->take(),
+                 "\"configuration-rejected\",\"version\":4,\"in_force\":5"));
+  F.Keys.put("rules", "6");
+  F.advance(2s);
+  CHECK(F.proxy(0).Sessions->rules().Version == 6);
+}
+
+TEST_CASE("a refused database leaves a line with the version in force") {
+  Fleet F(1);
+  F.advance(2s);
+  F.proxy(0).Events->take();
+  CHECK(F.proxy(0).Sessions->open("unknown", {}) == nullptr);
+  CHECK(contains(F.proxy(0).Events->take(),
+                 "\"database-refused\",\"id\":\"\",\"database\":\"unknown\","
+                 "\"version\":1"));
+}
--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -38,6 +38,8 @@
 
   /// Null if there is no route for the database.
   std::shared_ptr<Session> open(std::string Database, ReplySink Reply);
+  /// Logs that there is no route; \p Statement is empty for a new session.
+  void noteNoRoute(std::string_view Database, std::string_view Statement);
   void closed(Session &S);
   std::size_t sessionCount() const { return Sessions.size(); }
 
@@ -67,6 +69,7 @@
   EventWriter &Events;
   Metrics &Counters;
   RoutingRules Rules;
+  Instant RulesAppliedAt;
   std::vector<ServerEntry> Servers;
   std::size_t Proxies = 1;
   /// Failure domains with a registered proxy.
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -21,6 +21,9 @@
   Stopped,
   Reloaded,
   ConfigurationApplied,
+  ConfigurationRead,
+  ConfigurationHeard,
+  ConfigurationRejected,
   StoreLost,
   StoreRegained,
   Isolated,
@@ -50,6 +53,7 @@
   StatementUnknown,
   TransactionEnded,
   StatementForwarded,
+  DatabaseRefused,
   InputRejected,
   LinesDropped,
 };
@@ -62,12 +66,15 @@
 };
 
 /// In the order of EngineEvent.
-inline constexpr std::array<EngineEventKind, 36> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 40> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
     {103, "reloaded", 10},
     {110, "configuration-applied", 20},
+    {111, "configuration-read", 20},
+    {112, "configuration-heard", 20},
+    {113, "configuration-rejected", 20},
     {120, "store-lost", 5},
     {121, "store-regained", 5},
     {122, "isolated", 5},
@@ -97,6 +104,7 @@
     {163, "statement-unknown", 40},
     {164, "transaction-ended", 40},
     {165, "statement-forwarded", 40},
+    {166, "database-refused", 20},
     {170, "input-rejected", 20},
     {171, "lines-dropped", 1},
 }};
--- a/packages/engine/include/engine/metrics.h
+++ b/packages/engine/include/engine/metrics.h
@@ -26,6 +26,16 @@
 inline constexpr std::array<std::string_view, 5> StatementOutcomeNames = {
     "served", "served_by_replica", "refused", "failed", "unknown"};
 
+/// How current the rules of this process are.
+struct RulesState {
+  std::uint64_t Version = 0;
+  /// Another proxy knows newer ones.
+  bool Behind = false;
+  /// Time since the start of the last check of the store, by this proxy or
+  /// relayed.
+  Duration CheckAge{0};
+};
+
 /// Metrics of one process.
 class Metrics {
 public:
@@ -40,6 +50,8 @@
   void storeCall(bool Answered);
   void sessions(std::size_t Open) { Sessions->Set(static_cast<double>(Open)); }
 
+  void rules(const RulesState &State);
+
   /// All metrics in the text format.
   std::string text() const;
 
@@ -57,6 +69,9 @@
   prometheus::Counter *Handshakes = nullptr;
   std::array<prometheus::Counter *, 2> StoreCalls{};
   prometheus::Gauge *Sessions = nullptr;
+  prometheus::Gauge *RulesVersion = nullptr;
+  prometheus::Gauge *RulesBehind = nullptr;
+  prometheus::Gauge *RulesCheckAge = nullptr;
 };
 
 } // namespace eelgrassloom
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -59,6 +59,7 @@
   void answerError(ReplyCode Code, std::string Text);
   void dropTransaction();
   bool resolveRoute();
+  void refuseDatabase(const Statement &S);
 
   Engine &Owner;
   const SessionId Id;
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -17,9 +17,15 @@
 }
 
 void Engine::setRules(RoutingRules Next) {
-  if (Next.Version <= Rules.Version)
+  if (Next.Version <= Rules.Version) {
+    Events.write(EngineEvent::ConfigurationRejected,
+                 {{"version", Next.Version},
+                  {"in_force", Rules.Version},
+                  {"findings", "the version is not newer"}});
     return;
+  }
   Rules = std::move(Next);
+  RulesAppliedAt = Host.Now();
   Events.write(
       EngineEvent::ConfigurationApplied,
       {{"version", Rules.Version},
@@ -71,8 +77,10 @@
 }
 
 std::shared_ptr<Session> Engine::open(std::string Database, ReplySink Reply) {
-  if (Rules.Routes.find(Database) == Rules.Routes.end())
+  if (Rules.Routes.find(Database) == Rules.Routes.end()) {
+    noteNoRoute(Database, {});
     return nullptr;
+  }
   auto S = Session::create(*this, NextSession++, std::move(Database),
                            std::move(Reply));
   Sessions[S->id()] = S;
@@ -80,6 +88,15 @@
   return S;
 }
 
+void Engine::noteNoRoute(std::string_view Database,
+                         std::string_view Statement) {
+  Events.write(EngineEvent::DatabaseRefused,
+               {{"id", Statement},
+                {"database", Database},
+                {"version", Rules.Version},
+                {"in_force_ms", Host.Now() - RulesAppliedAt}});
+}
+
 void Engine::closed(Session &S) {
   Sessions.erase(S.id());
   Counters.sessions(Sessions.size());
--- a/packages/engine/src/metrics.cpp
+++ b/packages/engine/src/metrics.cpp
@@ -66,11 +66,21 @@
                      .Help("Calls to the store by whether they were answered.")
                      .Register(Registry),
                  StoreCalls, "answered", Answers);
-  Sessions = &prometheus::BuildGauge()
-                  .Name("eelgrassloom_sessions")
-                  .Help("Open sessions of callers.")
-                  .Register(Registry)
-                  .Add({});
+  auto Gauge = [this](const std::string &Name, const std::string &Help) {
+    return &prometheus::BuildGauge()
+                .Name(Name)
+                .Help(Help)
+                .Register(Registry)
+                .Add({});
+  };
+  Sessions = Gauge("eelgrassloom_sessions", "Open sessions of callers.");
+  RulesVersion = Gauge("eelgrassloom_rules_version",
+                       "Version of the operators' rules in force.");
+  RulesBehind = Gauge("eelgrassloom_rules_behind",
+                      "1 while another proxy knows newer rules.");
+  RulesCheckAge = Gauge("eelgrassloom_rules_check_age_seconds",
+                        "Time since the store was last checked for newer "
+                        "rules, by this proxy or one that it asks.");
 }
 
 void Metrics::statement(Priority Rank, StatementOutcome Outcome,
@@ -88,6 +98,12 @@
   ForwardedLatency->Observe(std::chrono::duration<double>(Took).count());
 }
 
+void Metrics::rules(const RulesState &State) {
+  RulesVersion->Set(static_cast<double>(State.Version));
+  RulesBehind->Set(State.Behind ? 1 : 0);
+  RulesCheckAge->Set(std::chrono::duration<double>(State.CheckAge).count());
+}
+
 std::string Metrics::text() const {
   return prometheus::TextSerializer().Serialize(Registry.Collect());
 }
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -100,7 +100,7 @@
   }
   // A changed route applies from the next transaction on.
   if (!resolveRoute()) {
-    answerError(ReplyCode::NoDatabase, "no route for " + Database);
+    refuseDatabase(S);
     return;
   }
   State = TransactionState::Open;
@@ -110,6 +110,11 @@
   answerOk();
 }
 
+void Session::refuseDatabase(const Statement &S) {
+  Owner.noteNoRoute(Database, S.Id);
+  answerError(ReplyCode::NoDatabase, "no route for " + Database);
+}
+
 void Session::change(const Statement &S) {
   if (S.Kind == StatementKind::Set)
     Values.Values[S.Name] = S.Argument;
@@ -140,7 +145,7 @@
 void Session::runData(const Statement &S) {
   bool Single = State == TransactionState::None;
   if (Single && !resolveRoute()) {
-    answerError(ReplyCode::NoDatabase, "no route for " + Database);
+    refuseDatabase(S);
     return;
   }
   auto J = std::make_shared<Job>();
--- a/packages/engine/test/metrics-test.cpp
+++ b/packages/engine/test/metrics-test.cpp
@@ -9,7 +9,12 @@
                std::chrono::milliseconds(20));
   M->sessions(4);
   M->forwarded(StatementOutcome::Unknown, std::chrono::milliseconds(5));
+  M->rules({7, true, std::chrono::milliseconds(1500)});
   std::string Text = M->text();
+  CHECK(Text.find("eelgrassloom_rules_version 7") != std::string::npos);
+  CHECK(Text.find("eelgrassloom_rules_behind 1") != std::string::npos);
+  CHECK(Text.find("eelgrassloom_rules_check_age_seconds 1.5") !=
+        std::string::npos);
   CHECK(Text.find("eelgrassloom_sessions 4") != std::string::npos);
   CHECK(Text.find("eelgrassloom_forwarded_total{outcome=\"unknown\"} 1") !=
         std::string::npos);
