Read newer rules in time when a connection has gone silent (CONFIG)

Cause: a proxy for which another one checks the store calls it seldom, so the read of newer rules was often the first call on a connection that had gone silent while idle. The read waited 4 s, longer than the bound of 3 s, and none was begun meanwhile. Ruled out: a proxy that was not told (event 112 precedes each of these reads).

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -37,6 +37,7 @@
   /// A relayed check may be older than a check interval by this much: two
   /// questions to the checker, and its timers. Below the rest of the lease.
   Duration RelaySlack = std::chrono::milliseconds(600);
+  /// Longest silence of the store during a call.
   Duration CallTimeout = std::chrono::milliseconds(900);
   /// Interval of reads that may be seconds old, at a tenth of the price.
   Duration ServersInterval = std::chrono::milliseconds(1500);
--- a/packages/control/include/control/rules.h
+++ b/packages/control/include/control/rules.h
@@ -11,8 +11,8 @@
 namespace eelgrassloom {
 
 struct RulesOptions {
-  /// Time for a read; the rules may be a megabyte on a slow link.
-  Duration ReadTimeout = std::chrono::seconds(4);
+  /// Longest silence during a read.
+  Duration ReadSilence = std::chrono::milliseconds(900);
   /// Pause before the first read is repeated.
   Duration FirstRetry = std::chrono::milliseconds(150);
 };
@@ -36,9 +36,9 @@
   void start() { readStore(); }
   /// The rules as an answer of the store holds them.
   void accept(const StoreItem &Item);
-  /// Another proxy knows the rules of this revision. \p StoreAnswers: the store
-  /// may be asked for them now.
-  void heard(const ProxyId &From, std::uint64_t Revision, bool StoreAnswers);
+  /// Another proxy knows the rules of this revision. They are read even if the
+  /// store is believed to be lost: the bound for rules is short.
+  void heard(const ProxyId &From, std::uint64_t Revision);
 
   /// Revision of the newest rules that were read; 0: none.
   std::uint64_t revision() const { return Revision; }
--- a/packages/control/include/control/store.h
+++ b/packages/control/include/control/store.h
@@ -77,6 +77,8 @@
   using Handler = std::function<void(StoreReply)>;
 
   virtual ~Store() = default;
+  // A call has no answer after \p Timeout without any byte of it.
+
   /// All items under a prefix.
   virtual void range(const std::string &Prefix, ReadMode Mode, Duration Timeout,
                      Handler Done) = 0;
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -30,6 +30,7 @@
   Wanted.Id = Self;
   Wanted.Incarnation = Incarnation;
   RulesOptions Reading;
+  Reading.ReadSilence = Options.CallTimeout;
   Reading.FirstRetry = Options.CheckRetry;
   Rules = RulesReader::create(Target, Platform, Layout, Reading);
   Rules->onApplied([this] {
--- a/packages/control/src/relay.cpp
+++ b/packages/control/src/relay.cpp
@@ -67,8 +67,7 @@
   // The age was taken after the question was sent.
   Instant Verified = View.AskedAt - Answer.CheckAge;
   bool NewRules = Answer.RulesRevision > Rules->revision();
-  Rules->heard(Answer.From, Answer.RulesRevision,
-               StoreUp || now() >= NextCheck);
+  Rules->heard(Answer.From, Answer.RulesRevision);
   bool Newer = newerThanKnown(Answer);
   if (Newer && ChecksRunning == 0 && (StoreUp || now() >= NextCheck))
     check();
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -12,7 +12,7 @@
 
 void RulesReader::readStore() {
   Reading = true;
-  Platform.range(Layout.RulesKey, ReadMode::Current, Options.ReadTimeout,
+  Platform.range(Layout.RulesKey, ReadMode::Current, Options.ReadSilence,
                  [this, SentAt = Target.runtime().Now()](StoreReply Reply) {
                    storeAnswered(Reply, SentAt);
                  });
@@ -56,8 +56,7 @@
     Applied();
 }
 
-void RulesReader::heard(const ProxyId &From, std::uint64_t Named,
-                        bool StoreAnswers) {
+void RulesReader::heard(const ProxyId &From, std::uint64_t Named) {
   if (Named <= Revision)
     return;
   if (Named > Heard) {
@@ -66,7 +65,7 @@
         EngineEvent::ConfigurationHeard,
         {{"from", From}, {"revision", Named}, {"known", Revision}});
   }
-  if (!Reading && StoreAnswers)
+  if (!Reading)
     readStore();
 }
 
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -105,6 +105,13 @@
     deliver(Timeout, {}, std::move(Done));
     return;
   }
+  if (State.SilentConnections.count(Proxy) != 0) {
+    deliver(Timeout, {}, [this, Done = std::move(Done)](StoreReply Nothing) {
+      State.SilentConnections.erase(Proxy);
+      Done(std::move(Nothing));
+    });
+    return;
+  }
   for (const StoreItem &Item : Reply.Items)
     State.RulesSent[Proxy] += Item.Key == "rules" ? 1 : 0;
   deliver(AnswerTime, std::move(Reply), std::move(Done));
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -35,6 +35,9 @@
   std::uint64_t NextLease = 1;
   std::map<std::uint64_t, Instant> LeaseEnds;
   std::set<std::string> CutOff;
+  /// Proxies whose open connections have gone silent: their calls get no answer
+  /// until the first of these has failed.
+  std::set<std::string> SilentConnections;
   /// Calls of each proxy that cost a full call, answered or not: current
   /// reads, changes, and watches while the store is away.
   std::map<std::string, std::size_t> Calls;
--- a/packages/control/test/rules-test.cpp
+++ b/packages/control/test/rules-test.cpp
@@ -1,5 +1,6 @@
 #include "control/rules.h"
 #include "fakestore.h"
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace eelgrassloom;
@@ -8,6 +9,15 @@
 
 namespace {
 
+/// Bound for rules to be in force everywhere, see Fleet::addProxy.
+constexpr Duration ApplyTime = 3s;
+
+bool allHave(Fleet &F, std::uint64_t Version) {
+  return std::all_of(F.Members.begin(), F.Members.end(), [&](const auto &P) {
+    return P->Sessions->rules().Version >= Version;
+  });
+}
+
 bool contains(const std::string &Text, const std::string &Part) {
   return Text.find(Part) != std::string::npos;
 }
@@ -58,3 +68,18 @@
                  "\"database-refused\",\"id\":\"\",\"database\":\"unknown\","
                  "\"version\":1"));
 }
+
+// CONFIG: a read of newer rules over a connection that had gone silent waited
+// for longer than the bound, and no other one was begun meanwhile.
+TEST_CASE("rules are in force in time after connections went silent") {
+  for (int Offset = 0; Offset < 24; ++Offset) {
+    Fleet F(8, 4);
+    F.advance(10s + Offset * 37ms);
+    for (auto &P : F.Members)
+      F.Keys.SilentConnections.insert(P->Id);
+    F.advance(Offset * 97ms);
+    F.Keys.put("rules", "2");
+    F.advance(ApplyTime);
+    CHECK(allHave(F, 2));
+  }
+}
