Read newer rules from other proxies while the store turns this one away (CONFIG)

Evidence: no event 110 on those hosts while the others have one for each version.

Change: a proxy that hears of newer rules reads the store, and asks the proxy that named them over a stream if the store is lost or has not answered for 0.2 s (kernel/rulessource). Rules from proxies are accepted by revision only, as those of the store. An unregistered proxy hears of rules, too.

Tests: rules-test "rules reach proxies that the store turns away" (fails if no proxy is asked), "proxies ask the store for newer rules while it answers", rulessource-test, forward-test.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -98,9 +98,9 @@
                                              const CoordinatorOptions &Options);
 
   /// Peers that are kept up to date; \p Address is told to them. They outlive
-  /// the coordinator.
-  void attach(Peers &Registered, std::string Address,
-              std::string FailureDomain);
+  /// the coordinator. \p Dial opens streams to them.
+  void attach(Peers &Registered, std::string Address, std::string FailureDomain,
+              PeerDialer Dial);
   void start();
   /// Gives up the duty and, when \p Done is called, the registration.
   void leave(std::function<void()> Done);
@@ -115,6 +115,8 @@
   bool isolated() const { return Isolated; }
   bool holdsDuty() const { return Duty.Held; }
   std::size_t serverCount() const { return Servers.size(); }
+  /// For other proxies.
+  RulesText currentRules() const { return Rules->current(); }
   /// What is told in the metrics.
   RulesState rulesState() const;
 
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -146,6 +146,8 @@
 
   /// Asks all registered proxies whether they answer at all.
   void probeAll();
+  /// Empty if the proxy is not registered.
+  std::string addressOf(const ProxyId &Id) const;
   /// When anything was last heard from a proxy.
   Instant heardAt(const ProxyId &Id) const;
   /// This proxy will leave: from now on its answers extend no permissions.
--- a/packages/control/include/control/rules.h
+++ b/packages/control/include/control/rules.h
@@ -1,18 +1,23 @@
 /// \file
-/// The operators' rules, read from the store. Revisions are those of the store:
-/// the rules of a higher one are newer.
+/// The operators' rules, read from the store or, while it does not answer this
+/// proxy, from another one. Revisions are those of the store: the rules of a
+/// higher one are newer.
 
 #ifndef EELGRASSLOOM_CONTROL_RULES_H
 #define EELGRASSLOOM_CONTROL_RULES_H
 
 #include "control/store.h"
 #include "engine/engine.h"
+#include "kernel/rulessource.h"
 
 namespace eelgrassloom {
 
 struct RulesOptions {
   /// Longest silence during a read.
   Duration ReadSilence = std::chrono::milliseconds(900);
+  /// Times for connecting to another proxy and for its answer.
+  Duration DialTimeout = std::chrono::milliseconds(300);
+  Duration ProxyTimeout = std::chrono::milliseconds(1500);
   /// Pause before the first read is repeated.
   Duration FirstRetry = std::chrono::milliseconds(150);
 };
@@ -32,26 +37,49 @@
   /// Called after each read of the store.
   void onRead(std::function<void()> Handler) { ReadDone = std::move(Handler); }
 
+  /// Lets other proxies be asked for the rules.
+  void connectBy(PeerDialer ToProxies) { Dial = std::move(ToProxies); }
   /// Reads until there are rules.
   void start() { readStore(); }
   /// The rules as an answer of the store holds them.
   void accept(const StoreItem &Item);
-  /// Another proxy knows the rules of this revision. They are read even if the
-  /// store is believed to be lost: the bound for rules is short.
-  void heard(const ProxyId &From, std::uint64_t Revision);
+  /// Another proxy, which may be asked at \p Address, knows the rules of this
+  /// revision. \p StoreLost: the last call to the store had no answer. The
+  /// store is asked all the same, because the bound for rules is short.
+  void heard(const ProxyId &From, const std::string &Address,
+             std::uint64_t Revision, bool StoreLost);
 
   /// Revision of the newest rules that were read; 0: none.
   std::uint64_t revision() const { return Revision; }
+  /// For other proxies.
+  RulesText current() const { return {Revision, Text}; }
   /// Another proxy knows newer rules than this one.
   bool behind() const { return Heard > Revision; }
 
 private:
+  /// A question to another proxy.
+  struct ProxyRead {
+    ProxyId From;
+    Instant SentAt;
+    std::shared_ptr<PeerStream> Stream;
+    bool Finished = false;
+  };
+  using ProxyReadRef = std::shared_ptr<ProxyRead>;
+
   RulesReader(Engine &Target, Store &Platform, const StoreLayout &Layout,
               const RulesOptions &Options)
       : Target(Target), Platform(Platform), Layout(Layout), Options(Options) {}
 
   void readStore();
+  void readProxy(const ProxyId &From, const std::string &Address);
   void storeAnswered(const StoreReply &Reply, Instant SentAt);
+  void opened(const ProxyReadRef &Read, std::shared_ptr<PeerStream> Stream);
+  void proxyAnswered(const ProxyReadRef &Read, std::string_view Bytes);
+  /// Ends a question; \p Found is 0 without an answer.
+  void finish(const ProxyReadRef &Read, std::string_view Outcome,
+              std::uint64_t Found);
+  void noteRead(std::string_view Source, std::string_view Outcome,
+                std::uint64_t Found, Instant SentAt);
 
   Engine &Target;
   Store &Platform;
@@ -59,10 +87,16 @@
   RulesOptions Options;
   std::function<void()> Applied;
   std::function<void()> ReadDone;
+  PeerDialer Dial;
   std::uint64_t Revision = 0;
+  /// As stored, for other proxies.
+  std::string Text;
   /// Newest revision that another proxy has named.
   std::uint64_t Heard = 0;
-  bool Reading = false;
+  /// Since when newer rules are known of.
+  Instant BehindSince;
+  bool ReadingStore = false;
+  ProxyReadRef AskedProxy;
 };
 
 } // namespace eelgrassloom
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -62,7 +62,8 @@
 }
 
 void Coordinator::attach(Peers &Registered, std::string Address,
-                         std::string FailureDomain) {
+                         std::string FailureDomain, PeerDialer Dial) {
+  Rules->connectBy(std::move(Dial));
   Others = &Registered;
   Wanted.Address = std::move(Address);
   Wanted.FailureDomain = std::move(FailureDomain);
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -320,6 +320,11 @@
   return It == Known.end() ? nullptr : &*It;
 }
 
+std::string Peers::addressOf(const ProxyId &Id) const {
+  const PeerInfo *P = registered(Id);
+  return P == nullptr ? std::string() : P->Address;
+}
+
 Instant Peers::heardAt(const ProxyId &Id) const {
   auto It = HeardAt.find(Id);
   return It == HeardAt.end() ? Instant() : It->second;
--- a/packages/control/src/relay.cpp
+++ b/packages/control/src/relay.cpp
@@ -62,12 +62,14 @@
 /// for the same epochs.
 void Coordinator::relayed(const RelayedView &View) {
   const PeerMessage &Answer = View.Answer;
+  bool NewRules = Answer.RulesRevision > Rules->revision();
+  if (NewRules)
+    Rules->heard(Answer.From, Others->addressOf(Answer.From),
+                 Answer.RulesRevision, !StoreUp);
   if (!registered() || Leaving)
     return;
   // The age was taken after the question was sent.
   Instant Verified = View.AskedAt - Answer.CheckAge;
-  bool NewRules = Answer.RulesRevision > Rules->revision();
-  Rules->heard(Answer.From, Answer.RulesRevision);
   bool Newer = newerThanKnown(Answer);
   if (Newer && ChecksRunning == 0 && (StoreUp || now() >= NextCheck))
     check();
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -11,7 +11,7 @@
 }
 
 void RulesReader::readStore() {
-  Reading = true;
+  ReadingStore = true;
   Platform.range(Layout.RulesKey, ReadMode::Current, Options.ReadSilence,
                  [this, SentAt = Target.runtime().Now()](StoreReply Reply) {
                    storeAnswered(Reply, SentAt);
@@ -19,17 +19,12 @@
 }
 
 void RulesReader::storeAnswered(const StoreReply &Reply, Instant SentAt) {
-  Reading = false;
+  ReadingStore = false;
   std::uint64_t Found = 0;
   for (const StoreItem &Item : Reply.Items)
     if (Item.Key == Layout.RulesKey)
       Found = Item.Revision;
-  Target.events().write(EngineEvent::ConfigurationRead,
-                        {{"source", "store"},
-                         {"outcome", name(Reply.Code)},
-                         {"revision", Found},
-                         {"known", Revision},
-                         {"took_ms", Target.runtime().Now() - SentAt}});
+  noteRead("store", name(Reply.Code), Found, SentAt);
   for (const StoreItem &Item : Reply.Items)
     if (Item.Key == Layout.RulesKey)
       accept(Item);
@@ -44,6 +39,7 @@
     return;
   auto Decoded = Layout.DecodeRules(Item.Value);
   Revision = Item.Revision;
+  Text = Item.Value;
   if (!Decoded) {
     Target.events().write(EngineEvent::ConfigurationRejected,
                           {{"revision", Item.Revision},
@@ -56,17 +52,91 @@
     Applied();
 }
 
-void RulesReader::heard(const ProxyId &From, std::uint64_t Named) {
+void RulesReader::noteRead(std::string_view Source, std::string_view Outcome,
+                           std::uint64_t Found, Instant SentAt) {
+  Target.events().write(EngineEvent::ConfigurationRead,
+                        {{"source", Source},
+                         {"outcome", Outcome},
+                         {"revision", Found},
+                         {"known", Revision},
+                         {"took_ms", Target.runtime().Now() - SentAt}});
+}
+
+void RulesReader::heard(const ProxyId &From, const std::string &Address,
+                        std::uint64_t Named, bool StoreLost) {
   if (Named <= Revision)
     return;
+  Instant Now = Target.runtime().Now();
+  if (!behind())
+    BehindSince = Now;
   if (Named > Heard) {
     Heard = Named;
     Target.events().write(
         EngineEvent::ConfigurationHeard,
         {{"from", From}, {"revision", Named}, {"known", Revision}});
   }
-  if (!Reading)
+  RulesReads Next = planRulesReads(
+      {Now - BehindSince, StoreLost, ReadingStore, AskedProxy != nullptr});
+  if (Next.Store)
     readStore();
+  if (Next.Proxy && Dial && !Address.empty())
+    readProxy(From, Address);
+}
+
+void RulesReader::readProxy(const ProxyId &From, const std::string &Address) {
+  auto Read = std::make_shared<ProxyRead>();
+  Read->From = From;
+  Read->SentAt = Target.runtime().Now();
+  AskedProxy = Read;
+  Target.runtime().After(Options.ProxyTimeout,
+                         [this, Read] { finish(Read, "no-answer", 0); });
+  Dial(Address, Options.DialTimeout,
+       [this, Read](std::shared_ptr<PeerStream> Stream) {
+         opened(Read, std::move(Stream));
+       });
+}
+
+void RulesReader::opened(const ProxyReadRef &Read,
+                         std::shared_ptr<PeerStream> Stream) {
+  if (!Stream) {
+    finish(Read, "not-connected", 0);
+    return;
+  }
+  Read->Stream = std::move(Stream);
+  if (Read->Finished) {
+    Read->Stream->close();
+    return;
+  }
+  Read->Stream->start(
+      [this, Read](std::string_view Bytes) { proxyAnswered(Read, Bytes); },
+      [this, Read] { finish(Read, "ended", 0); });
+  Read->Stream->send(encode(RulesQuestion{}));
+}
+
+void RulesReader::proxyAnswered(const ProxyReadRef &Read,
+                                std::string_view Bytes) {
+  auto Message = decodeForward(Bytes);
+  if (!Message) {
+    finish(Read, "malformed", 0);
+    return;
+  }
+  const auto *Found = std::get_if<RulesText>(&Message.value());
+  if (Found == nullptr)
+    return; // It leaves; the rules follow.
+  finish(Read, "ok", Found->Revision);
+  accept({Layout.RulesKey, Found->Text, Found->Revision, 0});
+}
+
+void RulesReader::finish(const ProxyReadRef &Read, std::string_view Outcome,
+                         std::uint64_t Found) {
+  if (Read->Finished)
+    return;
+  Read->Finished = true;
+  if (Read->Stream)
+    Read->Stream->close();
+  if (AskedProxy == Read)
+    AskedProxy.reset();
+  noteRead(Read->From, Outcome, Found, Read->SentAt);
 }
 
 } // namespace eelgrassloom
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -33,6 +33,39 @@
   UpstreamId Id;
 };
 
+/// One end of a stream between two proxies.
+class FakeStream : public PeerStream,
+                   public std::enable_shared_from_this<FakeStream> {
+public:
+  FakeStream(Fleet &F, std::string Self, std::string Peer)
+      : F(F), Self(std::move(Self)), Peer(std::move(Peer)) {}
+
+  void start(std::function<void(std::string_view)> OnMessage,
+             std::function<void()>) override {
+    Received = std::move(OnMessage);
+  }
+  void send(std::string_view Message) override {
+    F.Time.after(1ms, [this, Other = Other, Bytes = std::string(Message),
+                       Keep = shared_from_this()] {
+      auto To = Other.lock();
+      FakeProxy *From = F.find(Self);
+      if (To && To->Received && From != nullptr && F.connected(*From, Peer)) {
+        auto Handler = To->Received; // It may close the stream.
+        Handler(Bytes);
+      }
+    });
+  }
+  void close() override { Received = nullptr; }
+
+  std::weak_ptr<FakeStream> Other;
+
+private:
+  Fleet &F;
+  std::string Self;
+  std::string Peer;
+  std::function<void(std::string_view)> Received;
+};
+
 } // namespace
 
 void Timeline::runDue() {
@@ -250,25 +283,59 @@
                           *P->Keys, Layout, Promote, Probe, Options);
   P->Others = Peers::create(
       Id, Domain, 7, *P->Sessions,
-      [this, Id, Domain](const std::string &To, const std::string &Bytes) {
-        if (Isolated.count(Id) != 0 || Isolated.count(To) != 0 ||
-            Apart.count(Id) != Apart.count(To))
+      [this, Self = P.get()](const std::string &To, const std::string &Bytes) {
+        if (!connected(*Self, To))
           return;
-        Time.after(1ms, [this, Id, Domain, To, Bytes] {
-          for (auto &Other : Members)
-            if (Other->Id == To && !Other->Stopped &&
-                (Other->Domain == Domain ||
-                 CutDomains.count(Domain) + CutDomains.count(Other->Domain) ==
-                     0))
-              Other->Others->received(Id, Bytes);
+        Time.after(1ms, [this, Self, To, Bytes] {
+          FakeProxy *Other = find(To);
+          if (Other != nullptr && !Other->Stopped && connected(*Self, To))
+            Other->Others->received(Self->Id, Bytes);
         });
       },
       Options.Lease);
-  P->Control->attach(*P->Others, Id, Domain);
+  P->Streams = Forwarding::create(Id, Domain, *P->Sessions, {});
+  P->Streams->serveRules(
+      [Control = P->Control.get()] { return Control->currentRules(); });
+  P->Control->attach(*P->Others, Id, Domain, dialerOf(*P));
   P->Control->start();
   Members.push_back(std::move(P));
 }
 
+bool Fleet::connected(const FakeProxy &From, const std::string &To) {
+  FakeProxy *Other = find(To);
+  if (Other == nullptr || Isolated.count(From.Id) != 0 ||
+      Isolated.count(To) != 0 || Apart.count(From.Id) != Apart.count(To))
+    return false;
+  return Other->Domain == From.Domain ||
+         CutDomains.count(From.Domain) + CutDomains.count(Other->Domain) == 0;
+}
+
+FakeProxy *Fleet::find(const std::string &Id) {
+  for (auto &P : Members)
+    if (P->Id == Id)
+      return P.get();
+  return nullptr;
+}
+
+PeerDialer Fleet::dialerOf(FakeProxy &From) {
+  return [this, &From](const std::string &Address, Duration Timeout,
+                       std::function<void(std::shared_ptr<PeerStream>)> Done) {
+    FakeProxy *To = find(Address);
+    if (To == nullptr || To->Stopped || !connected(From, Address)) {
+      Time.after(Timeout, [Done] { Done(nullptr); });
+      return;
+    }
+    auto Near = std::make_shared<FakeStream>(*this, From.Id, Address);
+    auto Far = std::make_shared<FakeStream>(*this, Address, From.Id);
+    Near->Other = Far;
+    Far->Other = Near;
+    Time.after(1ms, [To, Near, Far, Done] {
+      To->Streams->accept(Far);
+      Done(Near);
+    });
+  };
+}
+
 void Fleet::cutDomain(const std::string &Domain) {
   CutDomains.insert(Domain);
   for (auto &P : Members)
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -91,6 +91,8 @@
   std::unique_ptr<Engine> Sessions;
   std::unique_ptr<FakeStore> Keys;
   std::unique_ptr<Peers> Others;
+  /// Answers questions for the rules; statements stay here.
+  std::unique_ptr<Forwarding> Streams;
   std::unique_ptr<Coordinator> Control;
   /// Stands still: no timers, no datagrams.
   bool Stopped = false;
@@ -139,6 +141,11 @@
   void cutDomain(const std::string &Domain);
   void healDomain(const std::string &Domain);
 
+  /// Messages pass from one proxy to another.
+  bool connected(const FakeProxy &From, const std::string &To);
+  FakeProxy *find(const std::string &Id);
+  PeerDialer dialerOf(FakeProxy &From);
+
   void addProxy(const std::string &Id, const std::string &Domain = "zone");
 };
 
--- a/packages/control/test/rules-test.cpp
+++ b/packages/control/test/rules-test.cpp
@@ -83,3 +83,40 @@
     CHECK(allHave(F, 2));
   }
 }
+
+// CONFIG: proxies that the store turns away were told by others that there are
+// newer rules, but never which.
+TEST_CASE("rules reach proxies that the store turns away") {
+  using Ids = std::vector<std::string>;
+  for (const Ids &TurnedAway :
+       {Ids{"p0"}, Ids{"p1", "p5"}, Ids{"p0", "p2", "p5", "p7"},
+        Ids{"p1", "p2", "p3", "p4", "p5", "p6", "p7"}}) {
+    for (bool Rejecting : {false, true}) {
+      Fleet F(8, 4);
+      F.advance(10s);
+      F.Keys.CutOff = {TurnedAway.begin(), TurnedAway.end()};
+      F.Keys.Rejecting = Rejecting;
+      for (std::uint64_t Version = 2; Version < 8; ++Version) {
+        F.advance(Version * 430ms);
+        F.Keys.put("rules", std::to_string(Version));
+        F.advance(ApplyTime);
+        CHECK(allHave(F, Version));
+      }
+    }
+  }
+}
+
+// Load pattern: rules that change often must not be sent between proxies while
+// the store answers.
+TEST_CASE("proxies ask the store for newer rules while it answers") {
+  Fleet F(8, 4);
+  F.advance(10s);
+  for (auto &P : F.Members)
+    P->Events->take();
+  for (int Version = 2; Version < 12; ++Version) {
+    F.Keys.put("rules", std::to_string(Version));
+    F.advance(600ms);
+  }
+  for (auto &P : F.Members)
+    CHECK_FALSE(contains(P->Events->take(), "\"source\":\"p"));
+}
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -91,9 +91,19 @@
   bool Reply = false;
 };
 
+/// Asks for the rules in force; the answer is RulesText.
+struct RulesQuestion {};
+
+/// The rules as they are stored.
+struct RulesText {
+  /// Revision in the store; 0: none.
+  std::uint64_t Revision = 0;
+  std::string Text;
+};
+
 using ForwardMessage =
     std::variant<ForwardRun, ForwardAnswer, ForwardAbandon, ForwardRollBack,
-                 ForwardLeaving, ForwardPing>;
+                 ForwardLeaving, ForwardPing, RulesQuestion, RulesText>;
 
 std::string encode(const ForwardMessage &Message);
 Result<ForwardMessage> decodeForward(std::string_view Bytes);
@@ -161,6 +171,10 @@
 
   /// Another proxy has connected to this one.
   void accept(std::shared_ptr<PeerStream> Stream);
+  /// Other proxies that ask for the rules get these.
+  void serveRules(std::function<RulesText()> Current) {
+    CurrentRules = std::move(Current);
+  }
   /// Tells the other proxies to send no more statements.
   void leave();
   /// Statements or transactions of other proxies are in progress here.
@@ -230,6 +244,7 @@
   std::map<std::string, std::vector<ProxyId>, std::less<>> Helpers;
   std::map<ProxyId, LinkRef> Links;
   std::set<ServedRef> Served;
+  std::function<RulesText()> CurrentRules;
   std::uint64_t NextExchange = 1;
   std::uint64_t NextTransaction = 1;
   std::uint64_t NextPeer = 1;
--- a/packages/engine/src/forwardcodec.cpp
+++ b/packages/engine/src/forwardcodec.cpp
@@ -16,6 +16,8 @@
   RollBack,
   Leaving,
   Ping,
+  RulesQuestion,
+  Rules,
 };
 
 /// Error number of the library for a value out of range.
@@ -87,6 +89,14 @@
   return json::array({tagOf(MessageTag::Ping), M.Reply});
 }
 
+json body(const RulesQuestion &) {
+  return json::array({tagOf(MessageTag::RulesQuestion)});
+}
+
+json body(const RulesText &M) {
+  return json::array({tagOf(MessageTag::Rules), M.Revision, M.Text});
+}
+
 ForwardRun runOf(const json &V) {
   ForwardRun M;
   M.Exchange = V.at(1).get<std::uint64_t>();
@@ -137,7 +147,7 @@
 }
 
 ForwardMessage messageOf(const json &V) {
-  switch (enumOf<MessageTag>(V.at(0), 6)) {
+  switch (enumOf<MessageTag>(V.at(0), 8)) {
   case MessageTag::Run:
     return runOf(V);
   case MessageTag::Answer:
@@ -150,6 +160,10 @@
     return ForwardLeaving{};
   case MessageTag::Ping:
     return ForwardPing{V.at(1).get<bool>()};
+  case MessageTag::RulesQuestion:
+    return RulesQuestion{};
+  case MessageTag::Rules:
+    return RulesText{V.at(1).get<std::uint64_t>(), V.at(2).get<std::string>()};
   }
   throw json::out_of_range::create(NoSuchValue, "no such message", nullptr);
 }
--- a/packages/engine/src/forwardserve.cpp
+++ b/packages/engine/src/forwardserve.cpp
@@ -56,6 +56,8 @@
   else if (const auto *Ping = std::get_if<ForwardPing>(&M);
            Ping && !Ping->Reply)
     Peer->Stream->send(encode(ForwardPing{true}));
+  else if (std::holds_alternative<RulesQuestion>(M) && CurrentRules)
+    Peer->Stream->send(encode(CurrentRules()));
 }
 
 void Forwarding::run(const ServedRef &Peer, ForwardRun M) {
--- a/packages/engine/test/forward-test.cpp
+++ b/packages/engine/test/forward-test.cpp
@@ -176,6 +176,11 @@
   Answer.Reply.At = Position{1, 2};
   Answer.Reply.State = TransactionState::Failed;
   Answer.Unservable = true;
+  auto Rules = decodeForward(encode(RulesText{7, "{}"}));
+  CHECK(std::get<RulesText>(Rules.value()).Revision == 7);
+  CHECK(std::get<RulesText>(Rules.value()).Text == "{}");
+  auto Question = decodeForward(encode(RulesQuestion{}));
+  CHECK(std::holds_alternative<RulesQuestion>(Question.value()));
   auto A = decodeForward(encode(Answer));
   REQUIRE(A);
   CHECK(std::get<ForwardAnswer>(A.value()).Reply.Rows == Answer.Reply.Rows);
