Keep valid rules in force when the stored ones are invalid or removed (CONFIG)

Cause: one revision stood for what the store holds and for what is in force. They are kept apart now: conditions of checks use the former, peers are told the latter. Values are checked beyond their types (kernel/checkrules); what has findings is logged once (event 113) and not read again.

Tests, each failing with the old logic: rules-test "invalid rules leave those in force", "rules that are removed and written again", "a proxy that starts takes the last valid rules from others"; checkrules-test.

--- a/packages/control/include/control/rules.h
+++ b/packages/control/include/control/rules.h
@@ -41,17 +41,21 @@
   void connectBy(PeerDialer ToProxies) { Dial = std::move(ToProxies); }
   /// Reads until there are rules.
   void start() { readStore(); }
-  /// The rules as an answer of the store holds them.
-  void accept(const StoreItem &Item);
+  /// The rules as an answer of the store holds them; revision 0: they were
+  /// removed. What is invalid changes nothing.
+  void fromStore(const StoreItem &Item);
   /// Another proxy, which may be asked at \p Address, knows the rules of this
   /// revision. \p StoreLost: the last call to the store had no answer. The
   /// store is asked all the same, because the bound for rules is short.
   void heard(const ProxyId &From, const std::string &Address,
              std::uint64_t Revision, bool StoreLost);
 
-  /// Revision of the newest rules that were read; 0: none.
+  /// Newest revision that the store has answered with, valid or not; 0: there
+  /// are no rules. Empty before the first answer.
+  std::optional<std::uint64_t> seen() const { return Seen; }
+  /// Revision of the rules in force; 0: none.
   std::uint64_t revision() const { return Revision; }
-  /// For other proxies.
+  /// For other proxies: the rules in force.
   RulesText current() const { return {Revision, Text}; }
   /// Another proxy knows newer rules than this one.
   bool behind() const { return Heard > Revision; }
@@ -70,6 +74,9 @@
               const RulesOptions &Options)
       : Target(Target), Platform(Platform), Layout(Layout), Options(Options) {}
 
+  /// Puts rules into force if they are valid and newer.
+  void apply(const StoreItem &Item);
+  void noteRejected(std::uint64_t Which, std::string_view Findings);
   void readStore();
   void readProxy(const ProxyId &From, const std::string &Address);
   void storeAnswered(const StoreReply &Reply, Instant SentAt);
@@ -88,7 +95,10 @@
   std::function<void()> Applied;
   std::function<void()> ReadDone;
   PeerDialer Dial;
+  std::optional<std::uint64_t> Seen;
   std::uint64_t Revision = 0;
+  /// The last one that was not put into force.
+  std::uint64_t Rejected = 0;
   /// As stored, for other proxies.
   std::string Text;
   /// Newest revision that another proxy has named.
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -171,8 +171,8 @@
   // Fails, and so answers with the mark, if there was an earlier run.
   if (!EarlierRunKnown)
     Conditions.push_back({checkMarkKey(Self), 0});
-  if (Rules->revision() != 0)
-    Conditions.push_back({Layout.RulesKey, Rules->revision()});
+  if (Rules->seen())
+    Conditions.push_back({Layout.RulesKey, *Rules->seen()});
   for (const auto &[Service, Rule] : Target.rules().Services) {
     if (Conditions.size() + detail::MarkEntries == MaxStoreEntries) {
       checkPart(Conditions);
@@ -266,7 +266,7 @@
 
 void Coordinator::accept(const StoreItem &Item) {
   if (Item.Key == Layout.RulesKey)
-    Rules->accept(Item);
+    Rules->fromStore(Item);
   else if (Item.Key == proxyKey(Self))
     acceptOwn(Item);
   else if (Item.Key == DutyLockKey) {
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -1,4 +1,6 @@
 #include "control/rules.h"
+#include "kernel/checkrules.h"
+#include <algorithm>
 
 namespace eelgrassloom {
 
@@ -27,27 +29,49 @@
   noteRead("store", name(Reply.Code), Found, SentAt);
   for (const StoreItem &Item : Reply.Items)
     if (Item.Key == Layout.RulesKey)
-      accept(Item);
-  if (Revision == 0)
+      fromStore(Item);
+  if (!Seen)
     Target.runtime().After(Options.FirstRetry, [this] { readStore(); });
   else if (ReadDone)
     ReadDone();
 }
 
-void RulesReader::accept(const StoreItem &Item) {
-  if (Item.Revision <= Revision)
+void RulesReader::fromStore(const StoreItem &Item) {
+  std::uint64_t Before = Seen.value_or(0);
+  if (Item.Revision != 0 && Item.Revision < Before)
+    return; // A late answer.
+  Seen = Item.Revision;
+  if (Item.Revision == 0) {
+    if (Before != 0)
+      noteRejected(0, "the rules were removed");
     return;
+  }
+  if (Item.Revision > std::max(Before, Revision))
+    apply(Item);
+}
+
+void RulesReader::noteRejected(std::uint64_t Which, std::string_view Findings) {
+  Rejected = Which;
+  Target.events().write(EngineEvent::ConfigurationRejected,
+                        {{"revision", Which},
+                         {"in_force", Target.rules().Version},
+                         {"findings", Findings}});
+}
+
+void RulesReader::apply(const StoreItem &Item) {
   auto Decoded = Layout.DecodeRules(Item.Value);
-  Revision = Item.Revision;
-  Text = Item.Value;
-  if (!Decoded) {
-    Target.events().write(EngineEvent::ConfigurationRejected,
-                          {{"revision", Item.Revision},
-                           {"in_force", Target.rules().Version},
-                           {"findings", toString(Decoded.findings())}});
+  std::vector<Finding> Findings =
+      Decoded ? check(Decoded.value()) : Decoded.findings();
+  if (!Findings.empty()) {
+    noteRejected(Item.Revision, toString(Findings));
+    return;
+  }
+  if (!Target.setRules(std::move(Decoded).value())) {
+    Rejected = Item.Revision;
     return;
   }
-  Target.setRules(std::move(Decoded).value());
+  Revision = Item.Revision;
+  Text = Item.Value;
   if (Applied)
     Applied();
 }
@@ -64,7 +88,7 @@
 
 void RulesReader::heard(const ProxyId &From, const std::string &Address,
                         std::uint64_t Named, bool StoreLost) {
-  if (Named <= Revision)
+  if (Named <= Revision || Named == Rejected)
     return;
   Instant Now = Target.runtime().Now();
   if (!behind())
@@ -75,9 +99,12 @@
         EngineEvent::ConfigurationHeard,
         {{"from", From}, {"revision", Named}, {"known", Revision}});
   }
-  RulesReads Next = planRulesReads(
-      {Now - BehindSince, StoreLost, ReadingStore, AskedProxy != nullptr});
-  if (Next.Store)
+  // Rules that this proxy has seen and not put into force are asked for no
+  // more in the store.
+  bool InStore = Named > Seen.value_or(0);
+  RulesReads Next = planRulesReads({Now - BehindSince, StoreLost || !InStore,
+                                    ReadingStore, AskedProxy != nullptr});
+  if (Next.Store && InStore)
     readStore();
   if (Next.Proxy && Dial && !Address.empty())
     readProxy(From, Address);
@@ -124,7 +151,8 @@
   if (Found == nullptr)
     return; // It leaves; the rules follow.
   finish(Read, "ok", Found->Revision);
-  accept({Layout.RulesKey, Found->Text, Found->Revision, 0});
+  if (Found->Revision > Revision)
+    apply({Layout.RulesKey, Found->Text, Found->Revision, 0});
 }
 
 void RulesReader::finish(const ProxyReadRef &Read, std::string_view Outcome,
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -251,8 +251,11 @@
   Layout.ServersPrefix = "servers/";
   Layout.DecodeRules = [](const std::string &Value) {
     RoutingRules Rules;
-    Rules.Version = std::stoul(Value);
-    Rules.Services["s"] = {"s", 10, 0};
+    if (Value == InvalidRules)
+      return Result<RoutingRules>::failure({{"rules", Value, "a version"}});
+    bool Useless = Value.starts_with(UselessRules);
+    Rules.Version = std::stoul(Useless ? Value.substr(1) : Value);
+    Rules.Services["s"] = {"s", Useless ? 0U : 10U, 0};
     return Result<RoutingRules>::success(Rules);
   };
   Layout.DecodeServer = [this](const StoreItem &Item) {
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -12,6 +12,11 @@
 /// Time of each answer of the store and of servers.
 inline constexpr Duration AnswerTime = std::chrono::milliseconds(4);
 
+/// Rules that can't be decoded.
+inline constexpr const char *InvalidRules = "invalid";
+/// In front of a version: rules that allow no connection.
+inline constexpr const char *UselessRules = "-";
+
 /// Timers and deferred calls.
 struct Timeline {
   Instant Now{std::chrono::seconds(100)};
--- a/packages/control/test/rules-test.cpp
+++ b/packages/control/test/rules-test.cpp
@@ -120,3 +120,61 @@
   for (auto &P : F.Members)
     CHECK_FALSE(contains(P->Events->take(), "\"source\":\"p"));
 }
+
+// CONFIG: what could not be decoded was taken as the newest rules.
+TEST_CASE("invalid rules leave those in force") {
+  for (const std::string &Bad :
+       {std::string(InvalidRules), std::string(UselessRules) + "3"}) {
+    Fleet F(8, 4);
+    F.advance(10s);
+    F.Keys.put("rules", "2");
+    F.advance(ApplyTime);
+    std::uint64_t Valid = F.proxy(0).Control->currentRules().Revision;
+    F.Keys.RulesSent.clear();
+    F.Keys.put("rules", Bad);
+    for (int I = 0; I < 20; ++I) {
+      F.advance(500ms);
+      CHECK(F.permittedCount() == 8);
+    }
+    for (auto &P : F.Members) {
+      CHECK(P->Sessions->rules().Version == 2);
+      CHECK(P->Control->currentRules().Revision == Valid);
+      CHECK_FALSE(P->Control->rulesState().Behind);
+      CHECK(contains(P->Events->take(), "\"configuration-rejected\""));
+      // Not read again and again.
+      CHECK(F.Keys.RulesSent[P->Id] <= 3);
+    }
+    F.Keys.put("rules", "4");
+    F.advance(ApplyTime);
+    CHECK(allHave(F, 4));
+  }
+}
+
+// A proxy that starts while the stored rules are invalid would serve nothing.
+TEST_CASE("a proxy that starts takes the last valid rules from others") {
+  Fleet F(8, 4);
+  F.advance(10s);
+  F.Keys.put("rules", "2");
+  F.advance(ApplyTime);
+  F.Keys.put("rules", InvalidRules);
+  F.advance(1s);
+  F.addProxy("late");
+  F.advance(ApplyTime);
+  CHECK(allHave(F, 2));
+}
+
+// CONFIG: checks whose condition on the rules never held ended all permissions.
+TEST_CASE("rules that are removed and written again") {
+  Fleet F(8, 4);
+  F.advance(10s);
+  F.Keys.Items.erase("rules");
+  ++F.Keys.Revision;
+  for (int I = 0; I < 10; ++I) {
+    F.advance(500ms);
+    CHECK(F.permittedCount() == 8);
+    CHECK(allHave(F, 1));
+  }
+  F.Keys.put("rules", "2");
+  F.advance(ApplyTime);
+  CHECK(allHave(F, 2));
+}
--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -17,8 +17,8 @@
                                         const Runtime &Host, Dialer Dial,
                                         EventWriter &Events, Metrics &Counters);
 
-  /// Applies rules of a higher version; others are ignored.
-  void setRules(RoutingRules Next);
+  /// Applies rules of a higher version. False: these are not newer.
+  bool setRules(RoutingRules Next);
   /// All registered servers, and the number of proxies that share them.
   void setServers(const std::vector<ServerEntry> &Servers, std::size_t Proxies);
 
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -16,13 +16,13 @@
                                             std::move(Dial), Events, Counters));
 }
 
-void Engine::setRules(RoutingRules Next) {
+bool Engine::setRules(RoutingRules Next) {
   if (Next.Version <= Rules.Version) {
     Events.write(EngineEvent::ConfigurationRejected,
                  {{"version", Next.Version},
                   {"in_force", Rules.Version},
                   {"findings", "the version is not newer"}});
-    return;
+    return false;
   }
   Rules = std::move(Next);
   RulesAppliedAt = Host.Now();
@@ -32,6 +32,7 @@
        {"routes", static_cast<std::uint64_t>(Rules.Routes.size())},
        {"services", static_cast<std::uint64_t>(Rules.Services.size())}});
   refreshGroups();
+  return true;
 }
 
 void Engine::setServers(const std::vector<ServerEntry> &Next,
--- /dev/null
+++ b/packages/kernel/src/checkrules.cpp
@@ -0,0 +1,88 @@
+#include "kernel/checkrules.h"
+#include <arpa/inet.h>
+#include <charconv>
+
+namespace eelgrassloom {
+namespace detail {
+
+constexpr unsigned LargestPort = 65535;
+
+class Checker {
+public:
+  void time(const std::string &Place, Duration Value, Duration Least) {
+    if (Value < Least || Value > LongestRuleTime)
+      add(Place, std::to_string(toMillis(Value)), "1 ms to 24 h");
+  }
+  void number(const std::string &Place, unsigned Value, unsigned Least) {
+    if (Value < Least || Value > MostConnections)
+      add(Place, std::to_string(Value),
+          std::to_string(Least) + " to " + std::to_string(MostConnections));
+  }
+  void text(const std::string &Place, const std::string &Value) {
+    if (Value.empty())
+      add(Place, Value, "a name");
+  }
+  void add(std::string Place, std::string Value, std::string Allowed) {
+    Findings.push_back(
+        {std::move(Place), std::move(Value), std::move(Allowed)});
+  }
+
+  std::vector<Finding> Findings;
+};
+
+constexpr Duration LeastTime = std::chrono::milliseconds(1);
+
+void checkRoute(const RoutingRules &Rules, const RouteRule &Route, Checker &C) {
+  std::string Place = "route " + Route.Database;
+  C.text(Place, Route.Database);
+  C.time(Place + " timeout", Route.StatementTimeout, LeastTime);
+  C.time(Place + " goal", Route.Goal, LeastTime);
+  C.time(Place + " staleness", Route.StalenessBound, Duration::zero());
+  if (Rules.Services.find(Route.Service) == Rules.Services.end())
+    C.add(Place + " service", Route.Service, "a service of these rules");
+}
+
+bool validAddress(const std::string &Address) {
+  std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  const char *End = Address.data() + Address.size();
+  unsigned Port = 0;
+  auto [Last, Error] = std::from_chars(Address.data() + Colon + 1, End, Port);
+  in_addr Parsed{};
+  return Error == std::errc() && Last == End && Port != 0 &&
+         Port <= LargestPort &&
+         inet_pton(AF_INET, Address.substr(0, Colon).c_str(), &Parsed) == 1;
+}
+
+} // namespace detail
+
+std::vector<Finding> check(const RoutingRules &Rules) {
+  detail::Checker C;
+  if (Rules.Version == 0)
+    C.add("version", "0", "a number above 0");
+  for (const auto &Entry : Rules.Routes)
+    detail::checkRoute(Rules, Entry.second, C);
+  for (const auto &[Name, Service] : Rules.Services) {
+    C.text("service " + Name, Name);
+    C.number("service " + Name + " connections", Service.ConnectionCap, 1);
+    C.number("service " + Name + " sync replicas", Service.SyncReplicas, 0);
+  }
+  C.time("idle transactions", Rules.TransactionIdle, detail::LeastTime);
+  return std::move(C.Findings);
+}
+
+std::vector<Finding> check(const ServerEntry &Server) {
+  detail::Checker C;
+  C.text("id", Server.Id);
+  C.text("service", Server.Service);
+  C.text("failure domain", Server.FailureDomain);
+  C.number("slots", Server.Slots, 1);
+  if (!detail::validAddress(Server.Address))
+    C.add("address", Server.Address, "IP:port");
+  if (Server.StartedAt < 0)
+    C.add("start", std::to_string(Server.StartedAt), "Unix milliseconds");
+  return std::move(C.Findings);
+}
+
+} // namespace eelgrassloom
