Take no server and no number from an entry of another writer

Reported by other operators: an odd entry among those of the servers (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it. Here none of these ended the process or the reading (a million levels of nesting, 1e999, port 65536: tests). But such an entry was taken for a server where its types fitted: -1 slots became, 0 slots made one proxy of a failure domain the owner of the whole service, port 99999 was dialled without end, and an id with a line break would have been sent as part of a line. Each read of the registry logged it again.

Cause: values were converted, not checked.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -218,6 +218,9 @@
   /// A check that found changes must be repeated, because only one without
   /// changes renews permissions, and nobody else does.
   bool mustCheckAgain() const;
+  /// Logs an entry that is not used, once for each change of it.
+  void noteRejected(const StoreItem &Item,
+                    const std::vector<Finding> &Findings);
   void applyServers(const std::vector<StoreItem> &Items);
   void readProxies();
   void applyProxies(const std::vector<StoreItem> &Items, Instant SentAt);
@@ -292,6 +295,8 @@
   std::unique_ptr<RulesReader> Rules;
   std::map<std::string, KnownGroup, std::less<>> Groups;
   std::vector<ServerEntry> Servers;
+  /// Revisions of entries and records that are not used.
+  std::map<std::string, std::uint64_t, std::less<>> RejectedInputs;
   std::map<UpstreamId, Instant, std::less<>> MissingSince;
   std::vector<ProxyReport> Proxies;
   Instant ProxiesReadAt;
--- a/packages/control/src/registry.cpp
+++ b/packages/control/src/registry.cpp
@@ -1,12 +1,15 @@
 // Registered servers and proxies.
 
 #include "control/coordinator.h"
+#include "kernel/checkrules.h"
 #include <algorithm>
 #include <xxhash.h>
 
 namespace eelgrassloom {
 namespace detail {
 
+constexpr std::size_t MostRejectedKnown = 1000;
+
 std::uint64_t digestOf(const std::vector<ServerEntry> &Servers) {
   std::string Text;
   for (const ServerEntry &S : Servers)
@@ -48,10 +51,10 @@
   std::set<UpstreamId> Present;
   for (const StoreItem &Item : Items) {
     auto Decoded = Layout.DecodeServer(Item);
-    if (!Decoded) {
-      Target.events().write(
-          EngineEvent::InputRejected,
-          {{"key", Item.Key}, {"findings", toString(Decoded.findings())}});
+    std::vector<Finding> Findings =
+        Decoded ? findingsOf(Decoded.value()) : Decoded.findings();
+    if (!Findings.empty()) {
+      noteRejected(Item, Findings);
       continue;
     }
     Next.push_back(std::move(Decoded).value());
@@ -80,6 +83,18 @@
   Target.setServers(Servers, ProxyCount);
 }
 
+void Coordinator::noteRejected(const StoreItem &Item,
+                               const std::vector<Finding> &Findings) {
+  if (RejectedInputs.size() >= detail::MostRejectedKnown)
+    RejectedInputs.clear();
+  auto [It, New] = RejectedInputs.emplace(Item.Key, Item.Revision);
+  if (!New && It->second == Item.Revision)
+    return; // It is read again and again.
+  It->second = Item.Revision;
+  Target.events().write(EngineEvent::InputRejected,
+                        {{"key", Item.Key}, {"findings", toString(Findings)}});
+}
+
 void Coordinator::compareServers(std::uint64_t Digest) {
   if (Digest == 0 || Digest == ServersDigest) {
     OtherServersReads = 0;
@@ -137,9 +152,7 @@
       continue;
     auto Decoded = decodeProxy(Item);
     if (!Decoded) {
-      Target.events().write(
-          EngineEvent::InputRejected,
-          {{"key", Item.Key}, {"findings", toString(Decoded.findings())}});
+      noteRejected(Item, Decoded.findings());
       continue;
     }
     const ProxyRecord &Record = Decoded.value();
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -61,7 +61,7 @@
 void RulesReader::apply(const StoreItem &Item) {
   auto Decoded = Layout.DecodeRules(Item.Value);
   std::vector<Finding> Findings =
-      Decoded ? check(Decoded.value()) : Decoded.findings();
+      Decoded ? findingsOf(Decoded.value()) : Decoded.findings();
   if (!Findings.empty()) {
     noteRejected(Item.Revision, toString(Findings));
     return;
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -262,6 +262,8 @@
     ServerEntry E;
     E.Id = Item.Key.substr(8);
     E.Service = "s";
+    E.Address = Item.Value == "foreign" ? "10.0.0.1:99999" : "10.0.0.1:80";
+    E.FailureDomain = "zone";
     E.Draining = Item.Value == "draining";
     E.ReportedRole = E.Id == Leader ? Role::Primary : Role::Replica;
     return Result<ServerEntry>::success(E);
--- a/packages/engine/src/events.cpp
+++ b/packages/engine/src/events.cpp
@@ -7,10 +7,12 @@
 /// Lines beyond this size are dropped until the next flush.
 constexpr std::size_t MaxBufferedBytes = std::size_t{256} * 1024;
 constexpr std::int64_t MillisPerSecond = 1000;
+/// Longer texts come from malformed input and are cut.
+constexpr std::size_t MaxFieldBytes = 600;
 
 void appendEscaped(std::string &Out, std::string_view Text) {
   Out += '"';
-  for (char C : Text) {
+  for (char C : Text.substr(0, MaxFieldBytes)) {
     if (C == '"' || C == '\\') {
       Out += '\\';
       Out += C;
--- a/packages/engine/test/events-test.cpp
+++ b/packages/engine/test/events-test.cpp
@@ -36,3 +36,10 @@
     CHECK_MESSAGE(Text.str().find(Row) != std::string::npos, Row);
   }
 }
+
+// An entry of another writer is quoted in the findings.
+TEST_CASE("long texts of a line are cut") {
+  EventWriter W("n", [] { return std::int64_t{5}; });
+  W.write(EngineEvent::InputRejected, {{"findings", std::string(100000, 'x')}});
+  CHECK(W.take().size() < 1000);
+}
--- a/packages/kernel/include/kernel/checkrules.h
+++ b/packages/kernel/include/kernel/checkrules.h
@@ -16,10 +16,10 @@
 inline constexpr unsigned MostConnections = 100000;
 
 /// Empty if the rules can be put into force.
-std::vector<Finding> check(const RoutingRules &Rules);
+std::vector<Finding> findingsOf(const RoutingRules &Rules);
 
 /// Empty if the entry names a server.
-std::vector<Finding> check(const ServerEntry &Server);
+std::vector<Finding> findingsOf(const ServerEntry &Server);
 
 } // namespace eelgrassloom
 
--- a/packages/kernel/src/checkrules.cpp
+++ b/packages/kernel/src/checkrules.cpp
@@ -1,4 +1,5 @@
 #include "kernel/checkrules.h"
+#include <algorithm>
 #include <arpa/inet.h>
 #include <charconv>
 
@@ -22,6 +23,14 @@
     if (Value.empty())
       add(Place, Value, "a name");
   }
+  /// Names that are sent to servers as words of a line.
+  void word(const std::string &Place, const std::string &Value) {
+    bool Printable = std::all_of(Value.begin(), Value.end(), [](char Byte) {
+      return Byte > ' ' && Byte < 0x7f;
+    });
+    if (Value.empty() || !Printable)
+      add(Place, Value, "a word of printable characters");
+  }
   void add(std::string Place, std::string Value, std::string Allowed) {
     Findings.push_back(
         {std::move(Place), std::move(Value), std::move(Allowed)});
@@ -57,14 +66,14 @@
 
 } // namespace detail
 
-std::vector<Finding> check(const RoutingRules &Rules) {
+std::vector<Finding> findingsOf(const RoutingRules &Rules) {
   detail::Checker C;
   if (Rules.Version == 0)
     C.add("version", "0", "a number above 0");
   for (const auto &Entry : Rules.Routes)
     detail::checkRoute(Rules, Entry.second, C);
   for (const auto &[Name, Service] : Rules.Services) {
-    C.text("service " + Name, Name);
+    C.word("service " + Name, Name);
     C.number("service " + Name + " connections", Service.ConnectionCap, 1);
     C.number("service " + Name + " sync replicas", Service.SyncReplicas, 0);
   }
@@ -72,10 +81,10 @@
   return std::move(C.Findings);
 }
 
-std::vector<Finding> check(const ServerEntry &Server) {
+std::vector<Finding> findingsOf(const ServerEntry &Server) {
   detail::Checker C;
-  C.text("id", Server.Id);
-  C.text("service", Server.Service);
+  C.word("id", Server.Id);
+  C.word("service", Server.Service);
   C.text("failure domain", Server.FailureDomain);
   C.number("slots", Server.Slots, 1);
   if (!detail::validAddress(Server.Address))
--- a/packages/kernel/test/checkrules-test.cpp
+++ b/packages/kernel/test/checkrules-test.cpp
@@ -30,7 +30,7 @@
 } // namespace
 
 TEST_CASE("rules that make sense have no findings") {
-  CHECK(check(validRules()).empty());
+  CHECK(findingsOf(validRules()).empty());
 }
 
 // CONFIG: rules were checked for the types of their values only.
@@ -48,7 +48,7 @@
            [](RoutingRules &R) { R.Routes["d"].StalenessBound = -1ms; }}) {
     RoutingRules Rules = validRules();
     Spoil(Rules);
-    CHECK(check(Rules).size() == 1);
+    CHECK(findingsOf(Rules).size() == 1);
   }
 }
 
@@ -57,11 +57,11 @@
   Rules.Version = 0;
   Rules.Routes["d"].StatementTimeout = 0ms;
   Rules.Routes["d"].Service = "other";
-  CHECK(check(Rules).size() == 3);
+  CHECK(findingsOf(Rules).size() == 3);
 }
 
 TEST_CASE("an entry that names a server has no findings") {
-  CHECK(check(validServer()).empty());
+  CHECK(findingsOf(validServer()).empty());
 }
 
 // An entry of another writer must not be connected to.
@@ -72,11 +72,14 @@
         "host:80", "1.2.3:80", "[::1]:80"}) {
     ServerEntry Server = validServer();
     Server.Address = Address;
-    CHECK_MESSAGE(check(Server).size() == 1, Address);
+    CHECK_MESSAGE(findingsOf(Server).size() == 1, Address);
   }
   using Change = std::function<void(ServerEntry &)>;
   for (const Change &Spoil : std::initializer_list<Change>{
            [](ServerEntry &E) { E.Id.clear(); },
+           // It would end the line in which it is sent.
+           [](ServerEntry &E) { E.Id = "i\r\nQUERY"; },
+           [](ServerEntry &E) { E.Id = "i j"; },
            [](ServerEntry &E) { E.Service.clear(); },
            [](ServerEntry &E) { E.FailureDomain.clear(); },
            [](ServerEntry &E) { E.Slots = 0; },
@@ -84,6 +87,6 @@
            [](ServerEntry &E) { E.StartedAt = -1; }}) {
     ServerEntry Server = validServer();
     Spoil(Server);
-    CHECK(check(Server).size() == 1);
+    CHECK(findingsOf(Server).size() == 1);
   }
 }
