Soak: check that added and removed databases are in force in time

An operator now adds and removes databases in series; random proxies are asked for them, and must know them 3 s after the change if they and the store were without a fault for 4 s. New faults: the store turns a proxy away; its open connections go silent. A proxy that is cut off or turned away counts as long as another one reaches the store.

--- a/tests/soak/keystore.cpp
+++ b/tests/soak/keystore.cpp
@@ -36,7 +36,8 @@
 class HttpPeer : public std::enable_shared_from_this<HttpPeer> {
 public:
   HttpPeer(tcp::socket Socket, KeyStore &Owner, std::size_t Proxy)
-      : Stream(std::move(Socket)), Owner(Owner), Proxy(Proxy) {}
+      : Stream(std::move(Socket)), Owner(Owner), Proxy(Proxy),
+        SilencedBefore(Owner.silenced(Proxy)) {}
 
   void read() {
     Request = {};
@@ -50,6 +51,8 @@
 
 private:
   void handle() {
+    if (Owner.silenced(Proxy) != SilencedBefore)
+      return;
     std::string Token(Request["Eelgrassloom-Fence-Token"]);
     if (!Token.empty())
       Owner.Tokens.push_back(std::stoull(Token));
@@ -80,6 +83,7 @@
   boost::beast::flat_buffer Buffer;
   KeyStore &Owner;
   std::size_t Proxy;
+  unsigned SilencedBefore;
   http::request<http::string_body> Request;
   http::response<http::string_body> Response;
 };
@@ -225,7 +229,7 @@
   bool Promotion = Target == "/promote";
   if (!Promotion && (Mode == StoreMode::Silent || CutOff.count(Proxy) != 0))
     return;
-  if (!Promotion && Mode == StoreMode::Busy) {
+  if (!Promotion && (Mode == StoreMode::Busy || TurnedAway.count(Proxy) != 0)) {
     Done(503, "{}");
     return;
   }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,6 +1,7 @@
 /// \file
 /// Randomized fault soak: real proxy processes before the stand-ins, with
-/// faults from outside. Usage: soak PROGRAM SEED [SECONDS [PROXIES [planted]]]
+/// faults from outside. Usage: soak PROGRAM SEED [SECONDS [PROXIES [PLANTED]]],
+/// where PLANTED is a fault that must be found: promotion or rules.
 
 #include "world.h"
 #include <csignal>
@@ -22,6 +23,14 @@
 constexpr Duration WarmUp = 3s;
 constexpr Duration CoolDown = 4s;
 constexpr int Callers = 24;
+/// Bound for rules to be in force, as in the settings of the proxies.
+constexpr Duration ApplyTime = 3s;
+/// Bounds hold for proxies and a store without a fault for this long.
+constexpr Duration CalmTime = 4s;
+constexpr Duration ProbePause = 20ms;
+
+/// A fault that no proxy can help, to show that the checks find it.
+enum class Plant : std::uint8_t { None, Promotion, Rules };
 
 /// Below the ports that the system gives to outgoing connections.
 constexpr std::uint16_t FirstPort = 20000;
@@ -81,12 +90,14 @@
   std::string Log;
   std::uint16_t Front = 0;
   pid_t Id = 0;
-  bool Stopped = false;
+  /// End of its last fault; the largest instant while it lasts.
+  Instant CalmSince;
 };
 
 class Soak {
 public:
-  Soak(std::string Program, std::uint64_t Seed, std::size_t Count, bool Planted)
+  Soak(std::string Program, std::uint64_t Seed, std::size_t Count,
+       Plant Planted)
       : Program(std::move(Program)), Seed(Seed), Planted(Planted), Random(Seed),
         Group(Loop, Shared), Store(Loop, Group), Proxies(Count) {
     Folder = std::filesystem::temp_directory_path() /
@@ -102,6 +113,12 @@
   void signalProxy(Proxy &P, int Signal);
   void reap(Proxy &P);
   void config();
+  void change();
+  bool calm(const Proxy &P) const;
+  void noteStore();
+  void probe();
+  void probed(const Proxy &P, const std::string &Database, bool Known,
+              StartAnswer Answer);
   void serversTick();
   void fault();
   void faultOfProxy(Proxy &P);
@@ -115,7 +132,7 @@
 
   std::string Program;
   std::uint64_t Seed;
-  bool Planted;
+  Plant Planted;
   std::mt19937_64 Random;
   io_context Loop{1};
   Ports Free{Loop};
@@ -126,21 +143,28 @@
   std::vector<std::shared_ptr<Caller>> Clients;
   std::filesystem::path Folder;
   Instant StartedAt;
+  /// Since when the store answers at least one proxy without a fault.
+  Instant StoreCalmSince;
+  ProbeRoutes Added;
+  std::uint64_t Probes = 0;
   unsigned Version = 1;
   bool Faults = false;
 };
 
 void Soak::config() {
   std::string Routes;
-  for (auto [Name, Type, Bound] :
-       {std::tuple("latest", "primary", 0),
-        std::tuple("session", "read_your_writes", 2500),
-        std::tuple("bounded", "bounded_staleness", 1500)})
+  auto Add = [&](const std::string &Name, const char *Type, int Bound) {
     Routes +=
         std::string(Routes.empty() ? "" : ",") + R"({"name":"r","host":")" +
         Name + R"(","type":")" + Type +
         R"(","timeoutMs":1500,"goalMs":300,"priority":1,"service":"svc",)" +
         R"("maxStalenessMs":)" + std::to_string(Bound) + "}";
+  };
+  Add("latest", "primary", 0);
+  Add("session", "read_your_writes", 2500);
+  Add("bounded", "bounded_staleness", 1500);
+  for (const std::string &Name : Added.current())
+    Add(Name, "primary", 0);
   Store.put(
       "op/config",
       "{\"version\":" + std::to_string(Version) + ",\"routes\":[" + Routes +
@@ -148,6 +172,56 @@
           R"("limits":{"txIdleMs":3000}})");
 }
 
+void Soak::change() {
+  if (!Faults)
+    return;
+  ++Version;
+  Added.add(now());
+  if (Planted != Plant::Rules)
+    config();
+  after(Loop, std::chrono::milliseconds(200 + Random() % 1500),
+        [this] { change(); });
+}
+
+bool Soak::calm(const Proxy &P) const {
+  return P.Id != 0 && now() - P.CalmSince >= CalmTime;
+}
+
+void Soak::noteStore() {
+  bool Reached = false;
+  for (std::size_t I = 0; I < Proxies.size(); ++I)
+    Reached = Reached || (calm(Proxies[I]) && Store.CutOff.count(I) == 0 &&
+                          Store.TurnedAway.count(I) == 0);
+  if (!Reached || Store.Mode != StoreMode::Normal)
+    StoreCalmSince = now();
+}
+
+/// CONFIG: asks a proxy for a database that was added or removed.
+void Soak::probe() {
+  const Proxy &P = Proxies[Random() % Proxies.size()];
+  auto Asked = Added.pick(now() - ApplyTime, Random);
+  if (Asked && calm(P) && now() - StoreCalmSince >= CalmTime)
+    askDatabase(Loop, P.Front, Asked->first,
+                [this, &P, Asked = *Asked](StartAnswer Answer) {
+                  probed(P, Asked.first, Asked.second, Answer);
+                });
+  after(Loop, ProbePause, [this] { probe(); });
+}
+
+void Soak::probed(const Proxy &P, const std::string &Database, bool Known,
+                  StartAnswer Answer) {
+  if (Answer == StartAnswer::Other || !calm(P))
+    return; // A fault has begun meanwhile.
+  ++Probes;
+  if ((Answer == StartAnswer::Known) != Known)
+    Shared.Violations.push_back(
+        {"CONFIG",
+         Database + (Known ? " is unknown at " : " is still known at ") +
+             P.Settings + " after " +
+             std::to_string(toMillis(now() - StartedAt)) + " ms",
+         0});
+}
+
 void Soak::prepare() {
   config();
   for (std::size_t I = 0; I < Proxies.size(); ++I) {
@@ -180,7 +254,7 @@
     std::exit(2);
   }
   posix_spawn_file_actions_destroy(&Actions);
-  P.Stopped = false;
+  P.CalmSince = now();
 }
 
 void Soak::signalProxy(Proxy &P, int Signal) {
@@ -198,6 +272,7 @@
         {"CRASH", P.Settings + " by signal " + std::to_string(WTERMSIG(Status)),
          0});
   P.Id = 0;
+  P.CalmSince = Instant::max();
   after(Loop, 200ms, [this, &P] { startProxy(P); });
 }
 
@@ -212,6 +287,7 @@
   }
   for (Proxy &P : Proxies)
     reap(P);
+  noteStore();
   after(Loop, 10ms, [this] { serversTick(); });
 }
 
@@ -223,13 +299,19 @@
     return;
   case 1:
     note("terminate " + P.Settings.substr(P.Settings.size() - 7));
+    P.CalmSince = Instant::max();
     signalProxy(P, SIGTERM);
     return;
   case 2:
     note("pause " + P.Settings.substr(P.Settings.size() - 7));
+    P.CalmSince = Instant::max();
     signalProxy(P, SIGSTOP);
     after(Loop, std::chrono::milliseconds(200 + Random() % 3500),
-          [this, &P] { signalProxy(P, SIGCONT); });
+          [this, &P, Id = P.Id] {
+            signalProxy(P, SIGCONT);
+            if (P.Id == Id)
+              P.CalmSince = now();
+          });
     return;
   default:
     note("reload " + P.Settings.substr(P.Settings.size() - 7));
@@ -275,13 +357,26 @@
 }
 
 void Soak::faultOfStore() {
-  if (Random() % 2 == 0) {
-    std::size_t I = Random() % Proxies.size();
-    note("store cut from p" + std::to_string(I));
+  std::size_t I = Random() % Proxies.size();
+  std::string Name = "p" + std::to_string(I);
+  Duration Length = std::chrono::milliseconds(500 + Random() % 8000);
+  switch (Random() % 4) {
+  case 0:
+    note("store cut from " + Name);
     Store.CutOff.insert(I);
-    after(Loop, std::chrono::milliseconds(500 + Random() % 5000),
-          [this, I] { Store.CutOff.erase(I); });
+    after(Loop, Length, [this, I] { Store.CutOff.erase(I); });
+    return;
+  case 1:
+    note("store turns away " + Name);
+    Store.TurnedAway.insert(I);
+    after(Loop, Length, [this, I] { Store.TurnedAway.erase(I); });
     return;
+  case 2:
+    note("store connections of " + Name + " go silent");
+    Store.silence(I);
+    return;
+  default:
+    break;
   }
   Store.Mode = static_cast<StoreMode>(1 + Random() % 4);
   note("store mode " + std::to_string(static_cast<int>(Store.Mode)));
@@ -303,8 +398,6 @@
     break;
   default:
     faultOfStore();
-    ++Version;
-    config();
   }
   after(Loop, std::chrono::milliseconds(150 + Random() % 900),
         [this] { fault(); });
@@ -314,6 +407,7 @@
   Faults = false;
   Store.Mode = StoreMode::Normal;
   Store.CutOff.clear();
+  Store.TurnedAway.clear();
   for (const ServerRef &S : Group.All) {
     S->start();
     S->Mode = LinkMode::Normal;
@@ -341,11 +435,13 @@
   after(Loop, WarmUp, [this] {
     // The planted fault, which must be found, comes alone: a promotion that
     // nobody coordinated.
-    Faults = !Planted;
-    if (Planted)
+    Faults = Planted != Plant::Promotion;
+    if (Planted == Plant::Promotion)
       Group.promote("i-b");
-    else
+    if (Planted == Plant::None)
       fault();
+    change();
+    probe();
   });
   std::uint64_t Before = 0;
   after(Loop, WarmUp + Length, [this] { heal(); });
@@ -367,18 +463,20 @@
   for (const std::string &Problem : Store.Problems)
     Shared.Violations.push_back({Problem, "", 0});
   auto Remaining = Shared.remaining();
-  std::printf("seed %llu: %llu succeeded, %llu refused, %llu unknown, "
-              "%zu commits acknowledged, %zu rolled back, %zu violations\n",
-              static_cast<unsigned long long>(Seed),
-              static_cast<unsigned long long>(Shared.Succeeded),
-              static_cast<unsigned long long>(Shared.Refused),
-              static_cast<unsigned long long>(Shared.Unknown),
-              Shared.Acknowledged.size(), Shared.RolledBack.size(),
-              Remaining.size());
+  std::printf(
+      "seed %llu: %llu succeeded, %llu refused, %llu unknown, "
+      "%zu commits acknowledged, %zu rolled back, %llu probes of rules, "
+      "%zu violations\n",
+      static_cast<unsigned long long>(Seed),
+      static_cast<unsigned long long>(Shared.Succeeded),
+      static_cast<unsigned long long>(Shared.Refused),
+      static_cast<unsigned long long>(Shared.Unknown),
+      Shared.Acknowledged.size(), Shared.RolledBack.size(),
+      static_cast<unsigned long long>(Probes), Remaining.size());
   for (std::size_t I = 0; I < Remaining.size() && I < 20; ++I)
     std::printf("  %s %s\n", Remaining[I].Rule.c_str(),
                 Remaining[I].Text.c_str());
-  bool Failed = Planted ? Remaining.empty() : !Remaining.empty();
+  bool Failed = Remaining.empty() != (Planted == Plant::None);
   if (!Failed)
     std::filesystem::remove_all(Folder);
   else
@@ -391,14 +489,17 @@
 int main(int Argc, char **Argv) {
   if (Argc < 3) {
     std::fprintf(stderr,
-                 "usage: %s PROGRAM SEED [SECONDS [PROXIES [planted]]]\n",
+                 "usage: %s PROGRAM SEED [SECONDS [PROXIES "
+                 "[promotion|rules]]]\n",
                  Argv[0]);
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
   int Seconds = Argc > 3 ? std::atoi(Argv[3]) : 15;
   int Count = Argc > 4 ? std::atoi(Argv[4]) : 5;
-  bool Planted = Argc > 5 && std::string(Argv[5]) == "planted";
+  Plant Planted = Plant::None;
+  if (Argc > 5)
+    Planted = std::string(Argv[5]) == "rules" ? Plant::Rules : Plant::Promotion;
   if (Seconds <= 0 || Count <= 0) {
     std::fprintf(stderr, "SECONDS and PROXIES must be positive\n");
     return 2;
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -152,8 +152,15 @@
               const std::string &Target, const std::string &Body,
               std::function<void(unsigned, std::string)> Done);
 
+  /// Open connections of the proxy get no answer any more; new ones do.
+  void silence(std::size_t Proxy) { ++Silenced[Proxy]; }
+  unsigned silenced(std::size_t Proxy) { return Silenced[Proxy]; }
+
   StoreMode Mode = StoreMode::Normal;
+  /// Proxies without answers from the store.
   std::set<std::size_t> CutOff;
+  /// Proxies that the store turns away at once.
+  std::set<std::size_t> TurnedAway;
   std::vector<std::uint64_t> Tokens;
   std::vector<std::string> Problems;
 
@@ -179,9 +186,39 @@
   std::map<std::string, Item> Items;
   std::uint64_t Revision = 10;
   std::uint64_t NextLease = 1;
+  std::map<std::size_t, unsigned> Silenced;
   std::map<std::uint64_t, std::pair<Instant, Duration>> Leases;
 };
 
+/// A database that exists from one version of the rules to another one.
+struct ProbeRoute {
+  std::string Database;
+  Instant AddedAt;
+  /// Not yet removed: the largest instant.
+  Instant RemovedAt = Instant::max();
+};
+
+/// Databases that are added and removed, and whether a proxy must know them.
+class ProbeRoutes {
+public:
+  void add(Instant At);
+  /// Databases of the newest version.
+  std::vector<std::string> current() const;
+  /// A database to ask for, and whether it must be known; none if no change is
+  /// old enough.
+  std::optional<std::pair<std::string, bool>> pick(Instant At,
+                                                   std::mt19937_64 &Random);
+
+private:
+  std::vector<ProbeRoute> All;
+};
+
+/// What a proxy answers to the start of a session.
+enum class StartAnswer : std::uint8_t { Known, Unknown, Other };
+void askDatabase(io_context &Loop, std::uint16_t Port,
+                 const std::string &Database,
+                 std::function<void(StartAnswer)> Done);
+
 /// One caller: a session that is opened again, at any proxy, when it ends.
 class Caller : public std::enable_shared_from_this<Caller> {
 public:
