Learn from other proxies which servers leave while the store turns this one away (DRAIN)

A host that the store turned away went on sending new work to servers that had announced their end.

Change: an answer also names the newest revision of a registry entry. Servers write their entries all the time, so it orders the lists. A proxy whose store does not answer asks the proxy that named a newer list over a stream, as for rules; the question is in a module of its own now (control/ask).

Ruled out: taking any list that differs (lists read without staleness and with it would alternate).

Tests: registry-test "changes of the registry reach proxies that the store turns away" (fails without the question), forward-test.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -98,9 +98,9 @@
                                              const CoordinatorOptions &Options);
 
   /// Peers that are kept up to date; \p Address is told to them. They outlive
-  /// the coordinator. \p Dial opens streams to them.
+  /// the coordinator. \p ToProxies opens streams to them.
   void attach(Peers &Registered, std::string Address, std::string FailureDomain,
-              PeerDialer Dial);
+              PeerDialer ToProxies);
   void start();
   /// Gives up the duty and, when \p Done is called, the registration.
   void leave(std::function<void()> Done);
@@ -117,6 +117,7 @@
   std::size_t serverCount() const { return Servers.size(); }
   /// For other proxies.
   RulesText currentRules() const { return Rules->current(); }
+  ServersList currentServers() const { return {ServersRevision, Servers}; }
   /// What is told in the metrics.
   RulesState rulesState() const;
 
@@ -211,6 +212,10 @@
   /// A random time up to \p Most.
   Duration spread(Duration Most);
   void readServers();
+  void setServers(std::vector<ServerEntry> Next, std::uint64_t Revision);
+  /// Asks another proxy for its servers if they are newer. Failure pattern: the
+  /// store turns this proxy away, while servers leave.
+  void askServers(const PeerMessage &Answer);
   /// The checker has other servers than this proxy.
   void compareServers(std::uint64_t Digest);
   /// A checker has extended the permissions recently.
@@ -320,6 +325,9 @@
   Instant NextProxies;
   Instant NextDuty;
   std::uint64_t ServersDigest = 0;
+  /// Newest revision of an entry that was read.
+  std::uint64_t ServersRevision = 0;
+  PeerDialer Dial;
   Peers *Others = nullptr;
   /// Start of the last check that was answered, by this proxy or relayed.
   Instant CheckedAt;
@@ -350,6 +358,9 @@
   bool CheckAgain = false;
   bool Isolated = false;
   bool ServersBusy = false;
+  /// The last read of the registry had no answer.
+  bool ServersFailed = false;
+  bool AskingServers = false;
   bool ProxiesBusy = false;
   bool StoreUp = true;
 };
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -42,8 +42,9 @@
   std::uint64_t RulesRevision = 0;
   /// Start of the check.
   Instant CheckedAt;
-  /// Digest of the registered servers.
+  /// Digest of the registered servers, and the newest revision of an entry.
   std::uint64_t ServersDigest = 0;
+  std::uint64_t ServersRevision = 0;
 };
 
 struct PeerMessage {
@@ -62,6 +63,7 @@
   Duration OutsideAge{0};
   std::vector<PeerGrant> Grants;
   std::uint64_t ServersDigest = 0;
+  std::uint64_t ServersRevision = 0;
   /// In a question: digest of the group records that the asking proxy has.
   std::uint64_t RecordsDigest = 0;
   /// In an answer, if the digests differ, and in announcements. In a question:
--- a/packages/control/include/control/rules.h
+++ b/packages/control/include/control/rules.h
@@ -6,6 +6,7 @@
 #ifndef EELGRASSLOOM_CONTROL_RULES_H
 #define EELGRASSLOOM_CONTROL_RULES_H
 
+#include "control/ask.h"
 #include "control/store.h"
 #include "engine/engine.h"
 #include "kernel/rulessource.h"
@@ -15,9 +16,6 @@
 struct RulesOptions {
   /// Longest silence during a read.
   Duration ReadSilence = std::chrono::milliseconds(900);
-  /// Times for connecting to another proxy and for its answer.
-  Duration DialTimeout = std::chrono::milliseconds(300);
-  Duration ProxyTimeout = std::chrono::milliseconds(1500);
   /// Pause before the first read is repeated.
   Duration FirstRetry = std::chrono::milliseconds(150);
 };
@@ -61,15 +59,6 @@
   bool behind() const { return Heard > Revision; }
 
 private:
-  /// A question to another proxy.
-  struct ProxyRead {
-    ProxyId From;
-    Instant SentAt;
-    std::shared_ptr<PeerStream> Stream;
-    bool Finished = false;
-  };
-  using ProxyReadRef = std::shared_ptr<ProxyRead>;
-
   RulesReader(Engine &Target, Store &Platform, const StoreLayout &Layout,
               const RulesOptions &Options)
       : Target(Target), Platform(Platform), Layout(Layout), Options(Options) {}
@@ -80,11 +69,6 @@
   void readStore();
   void readProxy(const ProxyId &From, const std::string &Address);
   void storeAnswered(const StoreReply &Reply, Instant SentAt);
-  void opened(const ProxyReadRef &Read, std::shared_ptr<PeerStream> Stream);
-  void proxyAnswered(const ProxyReadRef &Read, std::string_view Bytes);
-  /// Ends a question; \p Found is 0 without an answer.
-  void finish(const ProxyReadRef &Read, std::string_view Outcome,
-              std::uint64_t Found);
   void noteRead(std::string_view Source, std::string_view Outcome,
                 std::uint64_t Found, Instant SentAt);
 
@@ -106,7 +90,7 @@
   /// Since when newer rules are known of.
   Instant BehindSince;
   bool ReadingStore = false;
-  ProxyReadRef AskedProxy;
+  bool AskingProxy = false;
 };
 
 } // namespace eelgrassloom
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -62,8 +62,9 @@
 }
 
 void Coordinator::attach(Peers &Registered, std::string Address,
-                         std::string FailureDomain, PeerDialer Dial) {
-  Rules->connectBy(std::move(Dial));
+                         std::string FailureDomain, PeerDialer ToProxies) {
+  Dial = std::move(ToProxies);
+  Rules->connectBy(Dial);
   Others = &Registered;
   Wanted.Address = std::move(Address);
   Wanted.FailureDomain = std::move(FailureDomain);
@@ -114,7 +115,8 @@
   tickDuty();
   if (Others == nullptr)
     return;
-  Others->setStoreView({Rules->revision(), CheckedAt, ServersDigest});
+  Others->setStoreView(
+      {Rules->revision(), CheckedAt, ServersDigest, ServersRevision});
   bool Silent = storeSilent();
   // While a checker extends the permissions, it alone asks all peers.
   Others->tick(Silent, Silent && !checkedByOthers());
--- a/packages/control/src/peermessage.cpp
+++ b/packages/control/src/peermessage.cpp
@@ -40,6 +40,7 @@
   Value["groups"] = std::move(Records);
   Value["groups_digest"] = M.RecordsDigest;
   Value["servers_digest"] = M.ServersDigest;
+  Value["servers"] = M.ServersRevision;
   Value["rules"] = M.RulesRevision;
   Value["checked"] = toMicros(M.CheckAge);
   Value["outside"] = toMicros(M.OutsideAge);
@@ -82,6 +83,7 @@
            R.at(5).get<std::uint64_t>()});
     M.RecordsDigest = Value.at("groups_digest").get<std::uint64_t>();
     M.ServersDigest = Value.at("servers_digest").get<std::uint64_t>();
+    M.ServersRevision = Value.at("servers").get<std::uint64_t>();
     M.RulesRevision = Value.at("rules").get<std::uint64_t>();
     M.CheckAge =
         std::chrono::microseconds(Value.at("checked").get<std::int64_t>());
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -119,6 +119,7 @@
   M.From = Self;
   M.Exchange = Question.Exchange;
   M.ServersDigest = View.ServersDigest;
+  M.ServersRevision = View.ServersRevision;
   if (Question.RecordsDigest != 0 && Question.RecordsDigest != RecordsDigest)
     for (const auto &Entry : Records)
       M.Records.push_back(Entry.second);
--- a/packages/control/src/registry.cpp
+++ b/packages/control/src/registry.cpp
@@ -37,7 +37,8 @@
                  Current ? ReadMode::Current : ReadMode::MayBeOld,
                  Options.CallTimeout, [this](StoreReply Reply) {
                    ServersBusy = false;
-                   if (Reply.Code != StoreCode::Ok) {
+                   ServersFailed = Reply.Code != StoreCode::Ok;
+                   if (ServersFailed) {
                      StoreTroubleAt = now();
                      NextServers = now() + readPause(Options.ServersInterval);
                      return;
@@ -49,6 +50,7 @@
 void Coordinator::applyServers(const std::vector<StoreItem> &Items) {
   std::vector<ServerEntry> Next;
   std::set<UpstreamId> Present;
+  std::uint64_t Newest = 0;
   for (const StoreItem &Item : Items) {
     auto Decoded = Layout.DecodeServer(Item);
     std::vector<Finding> Findings =
@@ -59,6 +61,7 @@
     }
     Next.push_back(std::move(Decoded).value());
     Present.insert(Next.back().Id);
+    Newest = std::max(Newest, Item.Revision);
   }
   // Entries lapse while the store is away; they are written again after it
   // returned.
@@ -74,15 +77,48 @@
     else
       MissingSince.erase(Old.Id);
   }
+  setServers(std::move(Next), Newest);
+}
+
+void Coordinator::setServers(std::vector<ServerEntry> Next,
+                             std::uint64_t Revision) {
   std::sort(
       Next.begin(), Next.end(),
       [](const ServerEntry &A, const ServerEntry &B) { return A.Id < B.Id; });
   Servers = std::move(Next);
   ServersKnown = true;
+  ServersRevision = Revision;
   ServersDigest = detail::digestOf(Servers);
   Target.setServers(Servers, ProxyCount);
 }
 
+void Coordinator::askServers(const PeerMessage &Answer) {
+  std::string Address = Others->addressOf(Answer.From);
+  bool StoreServes = StoreUp && !ServersFailed;
+  if (AskingServers || StoreServes || Address.empty() ||
+      Answer.ServersRevision <= ServersRevision ||
+      Answer.ServersDigest == ServersDigest)
+    return;
+  AskingServers = true;
+  askProxy(Target.runtime(), Dial, Address, ServersQuestion{},
+           [this, From = Answer.From](AskOutcome Outcome,
+                                      const ForwardMessage *Message) {
+             AskingServers = false;
+             const auto *Found = Message != nullptr
+                                     ? std::get_if<ServersList>(Message)
+                                     : nullptr;
+             bool Newer = Found != nullptr && Found->Revision > ServersRevision;
+             Target.events().write(
+                 EngineEvent::ServersRead,
+                 {{"source", From},
+                  {"outcome", name(Outcome)},
+                  {"revision", Found != nullptr ? Found->Revision : 0},
+                  {"known", ServersRevision}});
+             if (Newer)
+               setServers(Found->Servers, Found->Revision);
+           });
+}
+
 void Coordinator::noteRejected(const StoreItem &Item,
                                const std::vector<Finding> &Findings) {
   if (RejectedInputs.size() >= detail::MostRejectedKnown)
--- a/packages/control/src/relay.cpp
+++ b/packages/control/src/relay.cpp
@@ -66,6 +66,7 @@
   if (NewRules)
     Rules->heard(Answer.From, Others->addressOf(Answer.From),
                  Answer.RulesRevision, !StoreUp);
+  askServers(Answer);
   if (!registered() || Leaving)
     return;
   // The age was taken after the question was sent.
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -102,8 +102,8 @@
   // Rules that this proxy has seen and not put into force are asked for no
   // more in the store.
   bool InStore = Named > Seen.value_or(0);
-  RulesReads Next = planRulesReads({Now - BehindSince, StoreLost || !InStore,
-                                    ReadingStore, AskedProxy != nullptr});
+  RulesReads Next = planRulesReads(
+      {Now - BehindSince, StoreLost || !InStore, ReadingStore, AskingProxy});
   if (Next.Store && InStore)
     readStore();
   if (Next.Proxy && Dial && !Address.empty())
@@ -111,60 +111,18 @@
 }
 
 void RulesReader::readProxy(const ProxyId &From, const std::string &Address) {
-  auto Read = std::make_shared<ProxyRead>();
-  Read->From = From;
-  Read->SentAt = Target.runtime().Now();
-  AskedProxy = Read;
-  Target.runtime().After(Options.ProxyTimeout,
-                         [this, Read] { finish(Read, "no-answer", 0); });
-  Dial(Address, Options.DialTimeout,
-       [this, Read](std::shared_ptr<PeerStream> Stream) {
-         opened(Read, std::move(Stream));
-       });
-}
-
-void RulesReader::opened(const ProxyReadRef &Read,
-                         std::shared_ptr<PeerStream> Stream) {
-  if (!Stream) {
-    finish(Read, "not-connected", 0);
-    return;
-  }
-  Read->Stream = std::move(Stream);
-  if (Read->Finished) {
-    Read->Stream->close();
-    return;
-  }
-  Read->Stream->start(
-      [this, Read](std::string_view Bytes) { proxyAnswered(Read, Bytes); },
-      [this, Read] { finish(Read, "ended", 0); });
-  Read->Stream->send(encode(RulesQuestion{}));
-}
-
-void RulesReader::proxyAnswered(const ProxyReadRef &Read,
-                                std::string_view Bytes) {
-  auto Message = decodeForward(Bytes);
-  if (!Message) {
-    finish(Read, "malformed", 0);
-    return;
-  }
-  const auto *Found = std::get_if<RulesText>(&Message.value());
-  if (Found == nullptr)
-    return; // It leaves; the rules follow.
-  finish(Read, "ok", Found->Revision);
-  if (Found->Revision > Revision)
-    apply({Layout.RulesKey, Found->Text, Found->Revision, 0});
-}
-
-void RulesReader::finish(const ProxyReadRef &Read, std::string_view Outcome,
-                         std::uint64_t Found) {
-  if (Read->Finished)
-    return;
-  Read->Finished = true;
-  if (Read->Stream)
-    Read->Stream->close();
-  if (AskedProxy == Read)
-    AskedProxy.reset();
-  noteRead(Read->From, Outcome, Found, Read->SentAt);
+  AskingProxy = true;
+  askProxy(Target.runtime(), Dial, Address, RulesQuestion{},
+           [this, From, SentAt = Target.runtime().Now()](
+               AskOutcome Outcome, const ForwardMessage *Answer) {
+             AskingProxy = false;
+             const auto *Found =
+                 Answer != nullptr ? std::get_if<RulesText>(Answer) : nullptr;
+             noteRead(From, name(Outcome),
+                      Found != nullptr ? Found->Revision : 0, SentAt);
+             if (Found != nullptr && Found->Revision > Revision)
+               apply({Layout.RulesKey, Found->Text, Found->Revision, 0});
+           });
 }
 
 } // namespace eelgrassloom
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -299,8 +299,9 @@
       },
       Options.Lease);
   P->Streams = Forwarding::create(Id, Domain, *P->Sessions, {});
-  P->Streams->serveRules(
-      [Control = P->Control.get()] { return Control->currentRules(); });
+  Coordinator *Control = P->Control.get();
+  P->Streams->serveKnown([Control] { return Control->currentRules(); },
+                         [Control] { return Control->currentServers(); });
   P->Control->attach(*P->Others, Id, Domain, dialerOf(*P));
   P->Control->start();
   Members.push_back(std::move(P));
--- a/packages/control/test/registry-test.cpp
+++ b/packages/control/test/registry-test.cpp
@@ -22,3 +22,22 @@
   for (auto &P : F.Members)
     CHECK(P->Control->serverCount() == 2);
 }
+
+// DRAIN: proxies that the store turns away were told by others that the
+// registry differs, but never how.
+TEST_CASE("changes of the registry reach proxies that the store turns away") {
+  using Ids = std::vector<std::string>;
+  for (const Ids &TurnedAway :
+       {Ids{"p0"}, Ids{"p1", "p5"}, Ids{"p0", "p2", "p5", "p7"}}) {
+    Fleet F(8, 4);
+    F.advance(10s);
+    F.Keys.CutOff = {TurnedAway.begin(), TurnedAway.end()};
+    F.Keys.Rejecting = true;
+    F.advance(2s);
+    F.Keys.Items.erase("servers/c");
+    F.Keys.put("servers/b", "up"); // Servers write their entries all the time.
+    F.advance(6s);
+    for (auto &P : F.Members)
+      CHECK(P->Control->serverCount() == 2);
+  }
+}
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -24,6 +24,7 @@
   ConfigurationRead,
   ConfigurationHeard,
   ConfigurationRejected,
+  ServersRead,
   StoreLost,
   StoreRegained,
   Isolated,
@@ -66,7 +67,7 @@
 };
 
 /// In the order of EngineEvent.
-inline constexpr std::array<EngineEventKind, 40> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 41> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -75,6 +76,7 @@
     {111, "configuration-read", 20},
     {112, "configuration-heard", 20},
     {113, "configuration-rejected", 20},
+    {114, "servers-read", 20},
     {120, "store-lost", 5},
     {121, "store-regained", 5},
     {122, "isolated", 5},
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -101,9 +101,19 @@
   std::string Text;
 };
 
+/// Asks for the registered servers; the answer is ServersList.
+struct ServersQuestion {};
+
+struct ServersList {
+  /// Newest revision of an entry: lists with a higher one are newer.
+  std::uint64_t Revision = 0;
+  std::vector<ServerEntry> Servers;
+};
+
 using ForwardMessage =
     std::variant<ForwardRun, ForwardAnswer, ForwardAbandon, ForwardRollBack,
-                 ForwardLeaving, ForwardPing, RulesQuestion, RulesText>;
+                 ForwardLeaving, ForwardPing, RulesQuestion, RulesText,
+                 ServersQuestion, ServersList>;
 
 std::string encode(const ForwardMessage &Message);
 Result<ForwardMessage> decodeForward(std::string_view Bytes);
@@ -171,9 +181,11 @@
 
   /// Another proxy has connected to this one.
   void accept(std::shared_ptr<PeerStream> Stream);
-  /// Other proxies that ask for the rules get these.
-  void serveRules(std::function<RulesText()> Current) {
-    CurrentRules = std::move(Current);
+  /// Other proxies that ask for rules or servers get these.
+  void serveKnown(std::function<RulesText()> Rules,
+                  std::function<ServersList()> Servers) {
+    CurrentRules = std::move(Rules);
+    CurrentServers = std::move(Servers);
   }
   /// Tells the other proxies to send no more statements.
   void leave();
@@ -245,6 +257,7 @@
   std::map<ProxyId, LinkRef> Links;
   std::set<ServedRef> Served;
   std::function<RulesText()> CurrentRules;
+  std::function<ServersList()> CurrentServers;
   std::uint64_t NextExchange = 1;
   std::uint64_t NextTransaction = 1;
   std::uint64_t NextPeer = 1;
--- a/packages/engine/src/forwardcodec.cpp
+++ b/packages/engine/src/forwardcodec.cpp
@@ -18,6 +18,8 @@
   Ping,
   RulesQuestion,
   Rules,
+  ServersQuestion,
+  Servers,
 };
 
 /// Error number of the library for a value out of range.
@@ -97,6 +99,41 @@
   return json::array({tagOf(MessageTag::Rules), M.Revision, M.Text});
 }
 
+json body(const ServersQuestion &) {
+  return json::array({tagOf(MessageTag::ServersQuestion)});
+}
+
+json body(const ServersList &M) {
+  json Entries = json::array();
+  for (const ServerEntry &E : M.Servers)
+    Entries.push_back(
+        json::array({E.Id, E.Service, E.Address, E.FailureDomain, E.Slots,
+                     E.Draining, tagOf(E.ReportedRole), E.StartedAt}));
+  return json::array(
+      {tagOf(MessageTag::Servers), M.Revision, std::move(Entries)});
+}
+
+ServerEntry serverOf(const json &V) {
+  ServerEntry E;
+  E.Id = V.at(0).get<std::string>();
+  E.Service = V.at(1).get<std::string>();
+  E.Address = V.at(2).get<std::string>();
+  E.FailureDomain = V.at(3).get<std::string>();
+  E.Slots = V.at(4).get<unsigned>();
+  E.Draining = V.at(5).get<bool>();
+  E.ReportedRole = enumOf<Role>(V.at(6), RoleNames.size());
+  E.StartedAt = V.at(7).get<std::int64_t>();
+  return E;
+}
+
+ServersList serversOf(const json &V) {
+  ServersList M;
+  M.Revision = V.at(1).get<std::uint64_t>();
+  for (const json &Entry : V.at(2))
+    M.Servers.push_back(serverOf(Entry));
+  return M;
+}
+
 ForwardRun runOf(const json &V) {
   ForwardRun M;
   M.Exchange = V.at(1).get<std::uint64_t>();
@@ -147,7 +184,7 @@
 }
 
 ForwardMessage messageOf(const json &V) {
-  switch (enumOf<MessageTag>(V.at(0), 8)) {
+  switch (enumOf<MessageTag>(V.at(0), 10)) {
   case MessageTag::Run:
     return runOf(V);
   case MessageTag::Answer:
@@ -160,6 +197,10 @@
     return ForwardLeaving{};
   case MessageTag::Ping:
     return ForwardPing{V.at(1).get<bool>()};
+  case MessageTag::ServersQuestion:
+    return ServersQuestion{};
+  case MessageTag::Servers:
+    return serversOf(V);
   case MessageTag::RulesQuestion:
     return RulesQuestion{};
   case MessageTag::Rules:
--- a/packages/engine/src/forwardserve.cpp
+++ b/packages/engine/src/forwardserve.cpp
@@ -58,6 +58,8 @@
     Peer->Stream->send(encode(ForwardPing{true}));
   else if (std::holds_alternative<RulesQuestion>(M) && CurrentRules)
     Peer->Stream->send(encode(CurrentRules()));
+  else if (std::holds_alternative<ServersQuestion>(M) && CurrentServers)
+    Peer->Stream->send(encode(CurrentServers()));
 }
 
 void Forwarding::run(const ServedRef &Peer, ForwardRun M) {
--- a/packages/engine/test/forward-test.cpp
+++ b/packages/engine/test/forward-test.cpp
@@ -179,6 +179,13 @@
   auto Rules = decodeForward(encode(RulesText{7, "{}"}));
   CHECK(std::get<RulesText>(Rules.value()).Revision == 7);
   CHECK(std::get<RulesText>(Rules.value()).Text == "{}");
+  ServersList Known{9, {ServerEntry{}}};
+  Known.Servers[0].Id = "i";
+  Known.Servers[0].Draining = true;
+  Known.Servers[0].ReportedRole = Role::Replica;
+  auto Servers = decodeForward(encode(Known));
+  CHECK(std::get<ServersList>(Servers.value()).Revision == 9);
+  CHECK(std::get<ServersList>(Servers.value()).Servers == Known.Servers);
   auto Question = decodeForward(encode(RulesQuestion{}));
   CHECK(std::holds_alternative<RulesQuestion>(Question.value()));
   auto A = decodeForward(encode(Answer));
