Rules written again with an old version are no news

Fault of, found by reading it: a proxy that starts after the same version was written again knows a higher revision than the others. These would take it for news for ever, ask for it each 0.25 s and no longer count relayed checks, so that permissions would depend on quorums of peers. The same version raises the revision now; a revision that was rejected is not wanted again.

--- a/packages/control/include/control/rules.h
+++ b/packages/control/include/control/rules.h
@@ -55,8 +55,13 @@
   std::uint64_t revision() const { return Revision; }
   /// For other proxies: the rules in force.
   RulesText current() const { return {Revision, Text}; }
+  /// Rules of this revision are newer than those in force, and not known to be
+  /// invalid.
+  bool wanted(std::uint64_t Named) const {
+    return Named > Revision && Named != Rejected;
+  }
   /// Another proxy knows newer rules than this one.
-  bool behind() const { return Heard > Revision; }
+  bool behind() const { return wanted(Heard); }
 
 private:
   RulesReader(Engine &Target, Store &Platform, const StoreLayout &Layout,
--- a/packages/control/src/relay.cpp
+++ b/packages/control/src/relay.cpp
@@ -62,7 +62,7 @@
 /// for the same epochs.
 void Coordinator::relayed(const RelayedView &View) {
   const PeerMessage &Answer = View.Answer;
-  bool NewRules = Answer.RulesRevision > Rules->revision();
+  bool NewRules = Rules->wanted(Answer.RulesRevision);
   if (NewRules)
     Rules->heard(Answer.From, Others->addressOf(Answer.From),
                  Answer.RulesRevision, !StoreUp);
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -66,13 +66,15 @@
     noteRejected(Item.Revision, toString(Findings));
     return;
   }
-  if (!Target.setRules(std::move(Decoded).value())) {
+  // The same version may be written again.
+  bool Same = Decoded.value().Version == Target.rules().Version;
+  if (!Same && !Target.setRules(std::move(Decoded).value())) {
     Rejected = Item.Revision;
     return;
   }
   Revision = Item.Revision;
   Text = Item.Value;
-  if (Applied)
+  if (!Same && Applied)
     Applied();
 }
 
@@ -88,7 +90,7 @@
 
 void RulesReader::heard(const ProxyId &From, const std::string &Address,
                         std::uint64_t Named, bool StoreLost) {
-  if (Named <= Revision || Named == Rejected)
+  if (!wanted(Named))
     return;
   Instant Now = Target.runtime().Now();
   if (!behind())
--- a/packages/control/test/rules-test.cpp
+++ b/packages/control/test/rules-test.cpp
@@ -178,3 +178,28 @@
   F.advance(ApplyTime);
   CHECK(allHave(F, 2));
 }
+
+// A proxy that started between the two writes knows another revision than the
+// others, which must not take it for news for ever.
+TEST_CASE("rules that are written again with an old version are no news") {
+  for (const char *Again : {"5", "4"}) {
+    Fleet F(3);
+    F.advance(10s);
+    F.Keys.put("rules", "5");
+    F.advance(ApplyTime);
+    F.Keys.put("rules", Again);
+    F.advance(ApplyTime);
+    std::size_t Late = 0;
+    while (Late == 0 || !F.Members.back()->Others->checker()) {
+      F.addProxy("late" + std::to_string(Late++));
+      F.advance(5s);
+    }
+    F.advance(8s);
+    for (auto &P : F.Members) {
+      RulesState State = P->Control->rulesState();
+      CHECK_FALSE(State.Behind);
+      CHECK(State.CheckAge < 2s);
+    }
+    CHECK(F.permittedCount() == 3 + Late);
+  }
+}
