--- a/tests/fleet/history-test.cpp
+++ b/tests/fleet/history-test.cpp
@@ -22,8 +22,8 @@
   return Op;
 }
 
-Operation read(unsigned Session, std::vector<std::string> List,
-               std::int64_t At) {
+Operation readOp(unsigned Session, std::vector<std::string> List,
+                 std::int64_t At) {
   Operation Op = append(Session, "", At);
   Op.Kind = Action::Read;
   Op.List = std::move(List);
@@ -33,7 +33,7 @@
 
 FullHistory clean() {
   FullHistory H;
-  H.Operations = {append(1, "a", 0), read(1, {"a"}, 100)};
+  H.Operations = {append(1, "a", 0), readOp(1, {"a"}, 100)};
   H.Logs = {{"orders", {{{1, 1}, "id-a", {"a"}}}}};
   return H;
 }
@@ -50,7 +50,7 @@
   FullHistory H = clean();
   H.Operations[1].List = {};
   CHECK(checkReadYourWrites(H).size() == 1);
-  Operation Lost = read(1, {}, 50);
+  Operation Lost = readOp(1, {}, 50);
   Lost.Outcome = Verdict::PositionLost;
   H.Operations.insert(H.Operations.begin() + 1, Lost);
   CHECK(checkReadYourWrites(H).empty());
@@ -110,7 +110,7 @@
 // Guards against reads beyond their staleness bound.
 TEST_CASE("a read beyond its staleness bound is reported") {
   FullHistory H = clean();
-  H.Operations[1] = read(2, {}, 1000);
+  H.Operations[1] = readOp(2, {}, 1000);
   H.Operations[1].StalenessMicros = 500;
   CHECK(checkStaleness(H).size() == 1);
   H.Operations[1].StalenessMicros = 2000;
