Control: the registry's reader in a class of its own

The coordinator held the list of servers with 13 members and 7 functions of its own. The file of the registered proxies is named after them.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -9,7 +9,9 @@
 
 #include "control/peers.h"
 #include "control/records.h"
+#include "control/rejected.h"
 #include "control/rules.h"
+#include "control/servers.h"
 #include "engine/engine.h"
 #include <random>
 
@@ -39,16 +41,8 @@
   Duration RelaySlack = std::chrono::milliseconds(600);
   /// Longest silence of the store during a call.
   Duration CallTimeout = std::chrono::milliseconds(900);
-  /// Interval of reads that may be seconds old, at a tenth of the price.
-  Duration ServersInterval = std::chrono::milliseconds(1500);
-  /// Each so many reads of the servers one is current.
-  unsigned CurrentServersEvery = 3;
-  /// Interval of a proxy whose servers are those that its checker has.
-  Duration SameServersInterval = std::chrono::seconds(10);
-  /// Reads that may be old before a proxy that has other servers than its
-  /// checker makes a current one.
-  unsigned OldServersReads = 2;
-  Duration OtherServersInterval = std::chrono::milliseconds(500);
+  /// Pause after a read of the proxies without answer during an outage.
+  Duration ProxiesRetry = std::chrono::milliseconds(1500);
   Duration ProxiesInterval = std::chrono::milliseconds(4000);
   /// The same after the start, until the proxies that started with this one
   /// have registered.
@@ -78,9 +72,6 @@
   Duration DutyFinishTime = std::chrono::milliseconds(2000);
   /// Statements in progress on a revoked primary may finish in this time.
   Duration QuietTime = std::chrono::milliseconds(400);
-  /// A registry entry may be missing for this long after an outage of the
-  /// store.
-  Duration MissingGrace = std::chrono::milliseconds(3500);
   Duration WatchTime = std::chrono::seconds(25);
 };
 
@@ -114,10 +105,10 @@
   /// Callers are served better by other failure domains, see isolation.h.
   bool isolated() const { return Isolated; }
   bool holdsDuty() const { return Duty.Held; }
-  std::size_t serverCount() const { return Servers.size(); }
+  std::size_t serverCount() const { return Servers->entries().size(); }
   /// For other proxies.
   RulesText currentRules() const { return Rules->current(); }
-  ServersList currentServers() const { return {ServersRevision, Servers}; }
+  ServersList currentServers() const { return Servers->current(); }
   /// What is told in the metrics.
   RulesState rulesState() const;
 
@@ -211,22 +202,12 @@
   Duration readPause(Duration Interval) const;
   /// A random time up to \p Most.
   Duration spread(Duration Most);
-  void readServers();
-  void setServers(std::vector<ServerEntry> Next, std::uint64_t Revision);
-  /// Asks another proxy for its servers if they are newer. Failure pattern: the
-  /// store turns this proxy away, while servers leave.
-  void askServers(const PeerMessage &Answer);
-  /// The checker has other servers than this proxy.
-  void compareServers(std::uint64_t Digest);
   /// A checker has extended the permissions recently.
   bool checkedByOthers() const;
   /// A check that found changes must be repeated, because only one without
   /// changes renews permissions, and nobody else does.
   bool mustCheckAgain() const;
-  /// Logs an entry that is not used, once for each change of it.
-  void noteRejected(const StoreItem &Item,
-                    const std::vector<Finding> &Findings);
-  void applyServers(const std::vector<StoreItem> &Items);
+  StoreSituation storeSituation() const;
   void readProxies();
   void applyProxies(const std::vector<StoreItem> &Items, Instant SentAt);
   void noteCheckMarks(const std::vector<StoreItem> &Items);
@@ -299,10 +280,8 @@
 
   std::unique_ptr<RulesReader> Rules;
   std::map<std::string, KnownGroup, std::less<>> Groups;
-  std::vector<ServerEntry> Servers;
-  /// Revisions of entries and records that are not used.
-  std::map<std::string, std::uint64_t, std::less<>> RejectedInputs;
-  std::map<UpstreamId, Instant, std::less<>> MissingSince;
+  RejectedInputs Rejected;
+  std::unique_ptr<ServersReader> Servers;
   std::vector<ProxyReport> Proxies;
   Instant ProxiesReadAt;
   /// Read by the holder of the duty, and by others when the lock is free. A
@@ -321,13 +300,8 @@
   Instant NextOwnWrite;
 
   Instant NextCheck;
-  Instant NextServers;
   Instant NextProxies;
   Instant NextDuty;
-  std::uint64_t ServersDigest = 0;
-  /// Newest revision of an entry that was read.
-  std::uint64_t ServersRevision = 0;
-  PeerDialer Dial;
   Peers *Others = nullptr;
   /// Start of the last check that was answered, by this proxy or relayed.
   Instant CheckedAt;
@@ -335,18 +309,12 @@
   Instant OwnCheckedAt;
   /// When a checker last extended the permissions.
   Instant RelayedAt;
-  /// The store did not answer at this time; entries may lapse meanwhile.
-  Instant StoreTroubleAt;
   std::uint64_t WatchRevision = 0;
   DutyState Duty;
 
   unsigned ChecksRunning = 0;
   unsigned FailedChecks = 0;
-  unsigned ServersReads = 0;
-  /// Reads since the servers differ from those of the checker.
-  unsigned OtherServersReads = 0;
   unsigned ProxiesReads = 0;
-  bool ServersKnown = false;
   /// A check has found the revision of an older record, or that there is none.
   bool OwnKnown = false;
   bool OwnEvicted = false;
@@ -357,10 +325,6 @@
   bool EarlierRunSilent = false;
   bool CheckAgain = false;
   bool Isolated = false;
-  bool ServersBusy = false;
-  /// The last read of the registry had no answer.
-  bool ServersFailed = false;
-  bool AskingServers = false;
   bool ProxiesBusy = false;
   bool StoreUp = true;
 };
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -26,7 +26,8 @@
                          Prober Ask, const CoordinatorOptions &Values)
     : Self(std::move(Id)), Incarnation(Seed >> 1), Random(Seed),
       Target(Sessions), Platform(Keys), Layout(std::move(Names)),
-      Promote(std::move(Call)), Probe(std::move(Ask)), Options(Values) {
+      Promote(std::move(Call)), Probe(std::move(Ask)), Options(Values),
+      Rejected(Target.events()) {
   Wanted.Id = Self;
   Wanted.Incarnation = Incarnation;
   RulesOptions Reading;
@@ -42,6 +43,12 @@
     if (mustCheckAgain())
       checkSoon();
   });
+  ServersOptions Registry;
+  Registry.Retry = Options.CheckRetry;
+  Registry.CallTimeout = Options.CallTimeout;
+  Servers = ServersReader::create(
+      Target, Platform, Layout, Rejected, [this] { return storeSituation(); },
+      [this] { Target.setServers(Servers->entries(), ProxyCount); }, Registry);
 }
 
 std::unique_ptr<Coordinator>
@@ -63,8 +70,8 @@
 
 void Coordinator::attach(Peers &Registered, std::string Address,
                          std::string FailureDomain, PeerDialer ToProxies) {
-  Dial = std::move(ToProxies);
-  Rules->connectBy(Dial);
+  Servers->connectBy(ToProxies);
+  Rules->connectBy(std::move(ToProxies));
   Others = &Registered;
   Wanted.Address = std::move(Address);
   Wanted.FailureDomain = std::move(FailureDomain);
@@ -82,7 +89,7 @@
   Rules->start();
   readGroups();
   check();
-  readServers();
+  Servers->read();
   readProxies();
   Target.runtime().After(Options.FirstWatch, [this] { watchGroups(); });
 }
@@ -107,8 +114,7 @@
   Instant Now = now();
   if (ChecksRunning == 0 && Now >= NextCheck)
     check();
-  if (!ServersBusy && Now >= NextServers)
-    readServers();
+  Servers->tick();
   if (!ProxiesBusy && Now >= NextProxies)
     readProxies();
   updateOwn();
@@ -116,7 +122,7 @@
   if (Others == nullptr)
     return;
   Others->setStoreView(
-      {Rules->revision(), CheckedAt, ServersDigest, ServersRevision});
+      {Rules->revision(), CheckedAt, Servers->digest(), Servers->revision()});
   bool Silent = storeSilent();
   // While a checker extends the permissions, it alone asks all peers.
   Others->tick(Silent, Silent && !checkedByOthers());
@@ -127,6 +133,10 @@
   return now() - CheckedAt > Options.CheckInterval + Options.CheckSlack;
 }
 
+StoreSituation Coordinator::storeSituation() const {
+  return {StoreUp, storeSilent(), checkedByOthers()};
+}
+
 Duration Coordinator::readPause(Duration Interval) const {
   // A proxy with a checker hears of the outage before its own next check.
   return StoreUp && !storeSilent() ? Options.CheckRetry : Interval;
@@ -149,14 +159,14 @@
 
 void Coordinator::noteStore(bool Answered) {
   if (!Answered)
-    StoreTroubleAt = now();
+    Servers->noteTrouble();
   if (Answered == StoreUp)
     return;
   StoreUp = Answered;
   if (Answered) {
     // What was put off during the outage; spread, because all proxies notice
     // the return together.
-    NextServers = std::min(NextServers, now() + spread(Options.CheckRetry));
+    Servers->readSoon(spread(Options.CheckRetry));
     NextProxies = std::min(NextProxies, now() + spread(Options.CheckRetry));
   }
   Target.events().write(Answered ? EngineEvent::StoreRegained
--- /dev/null
+++ b/packages/control/src/proxies.cpp
@@ -0,0 +1,82 @@
+// Registered proxies.
+
+#include "control/coordinator.h"
+#include <algorithm>
+
+namespace eelgrassloom {
+
+void Coordinator::readProxies() {
+  ProxiesBusy = true;
+  NextProxies = now() + (ProxiesReads++ < Options.FirstProxiesReads
+                             ? Options.FirstProxiesInterval
+                             : Options.ProxiesInterval);
+  bool WithChecks = Duty.Held || Duty.TakeAt;
+  Platform.range(std::string(WithChecks ? ProxyStatePrefix : ProxyPrefix),
+                 Duty.Held ? ReadMode::Current : ReadMode::MayBeOld,
+                 Options.CallTimeout,
+                 [this, SentAt = now(), WithChecks](StoreReply Reply) {
+                   ProxiesBusy = false;
+                   if (Reply.Code != StoreCode::Ok) {
+                     NextProxies = now() + readPause(Options.ProxiesRetry);
+                     return;
+                   }
+                   if (WithChecks)
+                     noteCheckMarks(Reply.Items);
+                   applyProxies(Reply.Items, SentAt);
+                 });
+}
+
+void Coordinator::noteCheckMarks(const std::vector<StoreItem> &Items) {
+  for (const StoreItem &Item : Items) {
+    if (!Item.Key.starts_with(CheckMarkPrefix))
+      continue;
+    CheckMark &Known = Checks[Item.Key.substr(CheckMarkPrefix.size())];
+    if (Known.Revision != Item.Revision)
+      Known = {Item.Revision, now(), Known.Revision != 0};
+  }
+}
+
+void Coordinator::applyProxies(const std::vector<StoreItem> &Items,
+                               Instant SentAt) {
+  std::vector<ProxyReport> Next;
+  std::vector<PeerInfo> Registered;
+  for (const StoreItem &Item : Items) {
+    if (!Item.Key.starts_with(ProxyPrefix))
+      continue;
+    auto Decoded = decodeProxy(Item);
+    if (!Decoded) {
+      Rejected.note(Item, Decoded.findings());
+      continue;
+    }
+    const ProxyRecord &Record = Decoded.value();
+    ProxyReport Report{Record.Id,
+                       Item.Revision,
+                       Record.Evicted,
+                       Record.Unreachable,
+                       Record.Acknowledged,
+                       now(),
+                       Record.FailureDomain,
+                       Record.Answered};
+    for (const ProxyReport &Old : Proxies)
+      if (Old.Id == Report.Id && Old.Revision == Report.Revision)
+        Report.SeenAt = Old.SeenAt;
+    mergeTold(Report);
+    Next.push_back(std::move(Report));
+    if (Record.Id == Self && Record.Evicted)
+      NextCheck = now(); // It must register again.
+    if (!Record.Evicted)
+      Registered.push_back({Record.Id, Record.Address, Record.FailureDomain});
+  }
+  if (Others != nullptr)
+    Others->setPeers(std::move(Registered), SentAt);
+  Proxies = std::move(Next);
+  ProxiesReadAt = SentAt;
+  ProxyCount = std::max<std::size_t>(
+      1, static_cast<std::size_t>(
+             std::count_if(Proxies.begin(), Proxies.end(),
+                           [](const ProxyReport &P) { return !P.Evicted; })));
+  if (Servers->known())
+    Target.setServers(Servers->entries(), ProxyCount);
+}
+
+} // namespace eelgrassloom
--- /dev/null
+++ b/packages/control/src/rejected.cpp
@@ -0,0 +1,22 @@
+#include "control/rejected.h"
+
+namespace eelgrassloom {
+namespace detail {
+
+constexpr std::size_t MostRejectedKnown = 1000;
+
+} // namespace detail
+
+void RejectedInputs::note(const StoreItem &Item,
+                          const std::vector<Finding> &Findings) {
+  if (Revisions.size() >= detail::MostRejectedKnown)
+    Revisions.clear();
+  auto [It, New] = Revisions.emplace(Item.Key, Item.Revision);
+  if (!New && It->second == Item.Revision)
+    return;
+  It->second = Item.Revision;
+  Events.write(EngineEvent::InputRejected,
+               {{"key", Item.Key}, {"findings", toString(Findings)}});
+}
+
+} // namespace eelgrassloom
--- a/packages/control/src/relay.cpp
+++ b/packages/control/src/relay.cpp
@@ -63,10 +63,11 @@
 void Coordinator::relayed(const RelayedView &View) {
   const PeerMessage &Answer = View.Answer;
   bool NewRules = Rules->wanted(Answer.RulesRevision);
+  std::string Address = Others->addressOf(Answer.From);
   if (NewRules)
-    Rules->heard(Answer.From, Others->addressOf(Answer.From),
-                 Answer.RulesRevision, !StoreUp);
-  askServers(Answer);
+    Rules->heard(Answer.From, Address, Answer.RulesRevision, !StoreUp);
+  Servers->heard(Answer.From, Address, Answer.ServersRevision,
+                 Answer.ServersDigest);
   if (!registered() || Leaving)
     return;
   // The age was taken after the question was sent.
@@ -86,7 +87,7 @@
   if (View.FromChecker && !Answer.Grants.empty())
     RelayedAt = now();
   if (View.FromChecker && !Newer)
-    compareServers(Answer.ServersDigest);
+    Servers->compare(Answer.ServersDigest);
   if (!StoreUp || Newer)
     return; // Own checks go on, to notice when the store can be reached.
   NextCheck =
--- a/packages/control/src/replace.cpp
+++ b/packages/control/src/replace.cpp
@@ -52,7 +52,7 @@
   In.ProxiesReadAt = ProxiesReadAt;
   // This proxy has made a check, so a read of the marks finds one.
   In.Checks = Checks.empty() ? nullptr : &Checks;
-  In.AllServers = Servers.size();
+  In.AllServers = Servers->entries().size();
   if (Duty.ReportedSince)
     In.Reachable = reachableProxies();
   return In;
@@ -63,7 +63,7 @@
   In.Record = G.Record;
   In.CalledBefore = calledBefore(G);
   In.Statuses = &G.Statuses;
-  for (const ServerEntry &Server : Servers)
+  for (const ServerEntry &Server : Servers->entries())
     if (Server.Service == G.Record.Service)
       In.Servers.push_back(Server);
   auto Used = Target.group(G.Record.Service);
@@ -75,7 +75,7 @@
 }
 
 void Coordinator::promoteGroups() {
-  if (!ServersKnown || ProxiesReadAt == Instant())
+  if (!Servers->known() || ProxiesReadAt == Instant())
     return;
   bool Reported = primaryReported();
   if (!Reported)
@@ -248,7 +248,7 @@
 }
 
 void Coordinator::askStatuses(const std::string &Service) {
-  for (const ServerEntry &Server : Servers) {
+  for (const ServerEntry &Server : Servers->entries()) {
     if (Server.Service != Service)
       continue;
     if (!Groups[Service].Asking.insert(Server.Id).second)
