Soak: a database may be removed while a proxy is asked for it

Trace: p0 had started while the store turned it away (event 111, rejected, each 0.15 s); the probe's session waited for its readiness; its first rules were version 20, which had removed added-15 while the probe waited; event 166 says so (version 20, 46 ms in force). The refusal was right. The check leaves out a database that was removed between question and answer.

--- a/tests/soak/rulesprobe.cpp
+++ b/tests/soak/rulesprobe.cpp
@@ -1,6 +1,7 @@
 // Databases that the soak's operator adds and removes.
 
 #include "world.h"
+#include <algorithm>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -65,6 +66,11 @@
   return Names;
 }
 
+bool ProbeRoutes::exists(const std::string &Database) const {
+  std::vector<std::string> Names = current();
+  return std::find(Names.begin(), Names.end(), Database) != Names.end();
+}
+
 std::optional<std::pair<std::string, bool>>
 ProbeRoutes::pick(Instant At, std::mt19937_64 &Random) {
   if (All.empty())
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -212,6 +212,8 @@
                   StartAnswer Answer) {
   if (Answer == StartAnswer::Other || !calm(P))
     return; // A fault has begun meanwhile.
+  if (Known && !Added.exists(Database))
+    return; // Removed while the proxy was asked.
   ++Probes;
   if ((Answer == StartAnswer::Known) != Known)
     Shared.Violations.push_back(
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -204,6 +204,7 @@
   void add(Instant At);
   /// Databases of the newest version.
   std::vector<std::string> current() const;
+  bool exists(const std::string &Database) const;
   /// A database to ask for, and whether it must be known; none if no change is
   /// old enough.
   std::optional<std::pair<std::string, bool>> pick(Instant At,
