--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -167,9 +167,7 @@
 
   Instant now() const { return Target.runtime().Now(); }
 
-  /// First reads after the start. They are not part of a check, because a check
-  /// that finds changes answers with the value of every key in it, and the
-  /// rules may be large.
+  /// First read after the start; without an answer the checks find the groups.
   void readGroups();
 
   // Checks.
--- a/packages/control/include/control/rules.h
+++ b/packages/control/include/control/rules.h
@@ -37,7 +37,8 @@
 
   /// Lets other proxies be asked for the rules.
   void connectBy(PeerDialer ToProxies) { Dial = std::move(ToProxies); }
-  /// Reads until there are rules.
+  /// Reads until there are rules: by itself, because a check that finds changes
+  /// answers with the value of every key in it, and the rules may be large.
   void start() { readStore(); }
   /// The rules as an answer of the store holds them; revision 0: they were
   /// removed. What is invalid changes nothing.
--- a/packages/control/include/control/store.h
+++ b/packages/control/include/control/store.h
@@ -72,13 +72,13 @@
   MayBeOld,
 };
 
+/// Calls are answered once; after a timeout without any byte of the answer the
+/// code is NoAnswer, so that a large one may take longer.
 class Store {
 public:
   using Handler = std::function<void(StoreReply)>;
 
   virtual ~Store() = default;
-  // A call has no answer after \p Timeout without any byte of it.
-
   /// All items under a prefix.
   virtual void range(const std::string &Prefix, ReadMode Mode, Duration Timeout,
                      Handler Done) = 0;
--- a/packages/control/src/rules.cpp
+++ b/packages/control/src/rules.cpp
@@ -22,14 +22,14 @@
 
 void RulesReader::storeAnswered(const StoreReply &Reply, Instant SentAt) {
   ReadingStore = false;
-  std::uint64_t Found = 0;
-  for (const StoreItem &Item : Reply.Items)
-    if (Item.Key == Layout.RulesKey)
-      Found = Item.Revision;
-  noteRead("store", name(Reply.Code), Found, SentAt);
-  for (const StoreItem &Item : Reply.Items)
-    if (Item.Key == Layout.RulesKey)
-      fromStore(Item);
+  // Other keys may begin with the name of this one.
+  auto Found = std::find_if(
+      Reply.Items.begin(), Reply.Items.end(),
+      [&](const StoreItem &Item) { return Item.Key == Layout.RulesKey; });
+  bool Present = Found != Reply.Items.end();
+  noteRead("store", name(Reply.Code), Present ? Found->Revision : 0, SentAt);
+  if (Present)
+    fromStore(*Found);
   if (!Seen)
     Target.runtime().After(Options.FirstRetry, [this] { readStore(); });
   else if (ReadDone)
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -96,7 +96,7 @@
   std::unique_ptr<Engine> Sessions;
   std::unique_ptr<FakeStore> Keys;
   std::unique_ptr<Peers> Others;
-  /// Answers questions for the rules; statements stay here.
+  /// Answers questions for rules and servers; statements stay here.
   std::unique_ptr<Forwarding> Streams;
   std::unique_ptr<Coordinator> Control;
   /// Stands still: no timers, no datagrams.
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -3,7 +3,9 @@
 /// faults from outside. Usage: soak PROGRAM SEED [SECONDS [PROXIES [PLANTED]]],
 /// where PLANTED is a fault that must be found: promotion or rules.
 
+#include "ports.h"
 #include "world.h"
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -31,58 +33,8 @@
 
 /// A fault that no proxy can help, to show that the checks find it.
 enum class Plant : std::uint8_t { None, Promotion, Rules };
-
-/// Below the ports that the system gives to outgoing connections.
-constexpr std::uint16_t FirstPort = 20000;
-constexpr std::uint16_t LastPort = 30000;
-
-/// Ports of one run; runs that start together must not take those of another.
-constexpr std::uint16_t BlockPorts = 100;
-
-/// Binds a port of the loopback address, but does not listen. False: it is in
-/// use.
-bool bindPort(tcp::acceptor &A, std::uint16_t Port) {
-  error_code Error;
-  A.open(tcp::v4());
-  A.bind({platform::asio::ip::make_address("127.0.0.1"), Port}, Error);
-  if (Error)
-    A.close();
-  return !Error;
-}
-
-/// Ports that no other run uses: the first port of each block stays bound.
-class Ports {
-public:
-  explicit Ports(io_context &Loop) : Loop(Loop) {}
-
-  /// A port that is free now.
-  std::uint16_t next() {
-    while (true) {
-      if (Next == End)
-        takeBlock();
-      if (++Next == End)
-        continue;
-      tcp::acceptor Probe(Loop);
-      if (bindPort(Probe, Next))
-        return Next;
-    }
-  }
-
-private:
-  void takeBlock() {
-    tcp::acceptor Guard(Loop);
-    Next = End == 0 || End >= LastPort ? FirstPort : End;
-    while (!bindPort(Guard, Next))
-      Next = Next + BlockPorts >= LastPort ? FirstPort : Next + BlockPorts;
-    End = Next + BlockPorts;
-    Guards.push_back(std::move(Guard));
-  }
-
-  io_context &Loop;
-  std::vector<tcp::acceptor> Guards;
-  std::uint16_t Next = 0;
-  std::uint16_t End = 0;
-};
+constexpr std::array<std::string_view, 3> PlantNames = {"none", "promotion",
+                                                        "rules"};
 
 /// One proxy process; ended by its id.
 struct Proxy {
@@ -435,8 +387,8 @@
     after(Loop, 1s, [this, I] { Clients[I]->run(); });
   }
   after(Loop, WarmUp, [this] {
-    // The planted fault, which must be found, comes alone: a promotion that
-    // nobody coordinated.
+    // A planted fault comes alone: a promotion that nobody coordinated, or
+    // rules that are changed and never stored.
     Faults = Planted != Plant::Promotion;
     if (Planted == Plant::Promotion)
       Group.promote("i-b");
@@ -499,14 +451,18 @@
   std::signal(SIGPIPE, SIG_IGN);
   int Seconds = Argc > 3 ? std::atoi(Argv[3]) : 15;
   int Count = Argc > 4 ? std::atoi(Argv[4]) : 5;
-  Plant Planted = Plant::None;
-  if (Argc > 5)
-    Planted = std::string(Argv[5]) == "rules" ? Plant::Rules : Plant::Promotion;
+  std::string Word = Argc > 5 ? Argv[5] : "none";
+  auto Planted = std::find(PlantNames.begin(), PlantNames.end(), Word);
+  if (Planted == PlantNames.end()) {
+    std::fprintf(stderr, "the planted fault must be promotion or rules\n");
+    return 2;
+  }
   if (Seconds <= 0 || Count <= 0) {
     std::fprintf(stderr, "SECONDS and PROXIES must be positive\n");
     return 2;
   }
   return Soak(Argv[1], std::strtoull(Argv[2], nullptr, 10),
-              static_cast<std::size_t>(Count), Planted)
+              static_cast<std::size_t>(Count),
+              static_cast<Plant>(Planted - PlantNames.begin()))
       .run(std::chrono::seconds(Seconds));
 }
