A long queue no longer takes the processor of its owner

- Each arrival, answer and tick tried to start each of up to 420 waiting statements.
Now nothing is tried while no server has room, servers are looked at once for each pass, and a position is found by binary search.
Operations now count from their first try (kernel/resend.h).
- Hedged reads took slots from waiting ones.
While statements wait, a read is hedged only if its server has answered nothing since.

Slow owners: an owner that does not answer a ping for 200 ms gets no new statements, and repeatable ones are taken back and run at the next owner; writes and transactions wait for it up to 1 s.

--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -64,10 +64,11 @@
   /// The owner's number of the open transaction; 0: none.
   std::uint64_t Transaction = 0;
   SessionCommit LastCommit;
-  /// Time since the arrival of the statement, and of the operation that it
-  /// belongs to, at the sender.
+  /// Time since the arrival of the statement, of the operation that it belongs
+  /// to, and of the first try of that operation, at the sender.
   Duration Age{0};
   Duration OperationAge{0};
+  Duration FirstTryAge{0};
 };
 
 /// Answer to a ForwardRequest.
@@ -149,6 +150,9 @@
   std::map<std::uint64_t, JobRef> Pending;
   /// Open transactions of this proxy at the other one.
   std::size_t OpenTransactions = 0;
+  /// Another connection has replaced this one, which is kept for the answers
+  /// and the transactions that are open on it.
+  bool Replaced = false;
   /// Services whose statements it could not run; they are not sent to it before
   /// this time.
   std::map<std::string, Instant, std::less<>> AvoidUntil;
@@ -161,8 +165,14 @@
   /// A connection with statements in progress is pinged after this time without
   /// a message from the peer.
   Duration PingInterval = std::chrono::milliseconds(100);
-  /// A connection has failed if a ping is not answered within this time.
+  /// If a ping is not answered within this time, the other proxy is slow or the
+  /// connection is lost. A new connection replaces it, and statements that may
+  /// run a second time are taken back.
   Duration PingTimeout = std::chrono::milliseconds(200);
+  /// The connection has failed if a ping is not answered within this time. A
+  /// proxy without processor time is silent for some tenths of a second and
+  /// then answers everything.
+  Duration FailureTimeout = std::chrono::milliseconds(1000);
   /// Ping interval of a connection that only holds open transactions.
   Duration IdlePingInterval = std::chrono::milliseconds(1000);
   /// The owner cancels the statements and rolls back the transactions of a
@@ -251,7 +261,8 @@
 
   // Statements of this proxy that others run.
   const std::vector<ProxyId> &ownerOrder(std::string_view Service) const;
-  /// Proxies of all failure domains that may run what this one can't, in order.
+  /// Proxies of all failure domains that may run what this one can't, in order:
+  /// first the owners of the service in each failure domain.
   const std::vector<ProxyId> &fallbackOrder(std::string_view Service);
   /// Connection to the first usable owner; null if the statement must run
   /// here. Dials owners that are not connected.
@@ -266,8 +277,13 @@
   void handleOwnerMessage(const PeerConnectionRef &Connection,
                           std::string_view Bytes);
   void handleAnswer(const PeerConnectionRef &Connection, ForwardAnswer Answer);
+  void handleUnservable(const JobRef &J);
   void finish(const JobRef &J, JobResult Result);
   void handleNoAnswer(const JobRef &J);
+  void rerun(const JobRef &J);
+  void takeBack(const PeerConnectionRef &Connection);
+  /// Lets a new connection take the place of this one.
+  void replace(const PeerConnectionRef &Connection);
   void failConnection(const PeerConnectionRef &Connection,
                       std::string_view Reason);
   void checkConnection(const PeerConnectionRef &Connection, Instant Now);
@@ -294,6 +310,7 @@
   mutable std::map<std::string, std::vector<ProxyId>, std::less<>> OwnerOrders;
   std::map<std::string, std::vector<ProxyId>, std::less<>> FallbackOrders;
   std::map<ProxyId, PeerConnectionRef> Connections;
+  std::set<PeerConnectionRef> ReplacedConnections;
   std::set<PeerClientRef> Clients;
   std::function<StoredConfig()> CurrentConfig;
   std::function<ServersList()> CurrentServers;
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -86,6 +86,10 @@
   /// transaction, or itself.
   Instant Arrived;
   Instant OperationStart;
+  /// Arrival of the first try of the operation: earlier than OperationStart if
+  /// the proxy has refused it and the caller has sent it again. It decides the
+  /// order of waiting statements, and nothing about the age of what is read.
+  Instant FirstTry;
   std::function<void(JobResult)> Done;
   /// Owns the object behind State if another proxy has forwarded the statement;
   /// null for a statement of this proxy.
@@ -95,6 +99,8 @@
   bool LocalOnly = false;
   /// Number of fallback proxies that the statement was sent to.
   unsigned FallbackAttempts = 0;
+  /// Number of owners that did not answer the statement.
+  unsigned SilentOwners = 0;
 
   // State of the attempts.
   /// The proxy that the statement was forwarded to; null if it runs here.
@@ -223,7 +229,13 @@
   void schedule();
   void scheduleOnce();
   std::vector<JobRef> waitingInOrder(Instant Now) const;
-  bool tryStart(const JobRef &J, Instant Now);
+  /// Starts the statement on the best of the servers \p Loads, if there is one.
+  bool tryStart(const JobRef &J, const std::vector<ServerLoad> &Loads,
+                Instant Now);
+  void enqueue(const JobRef &J);
+  void removeFromQueue(const JobRef &J);
+  /// The most urgent priority of the waiting statements, of which there is one.
+  Priority mostUrgentWaiting() const;
   std::vector<ServerLoad> serverLoads(Instant Now) const;
   PlacementRequest makePlacementRequest(const Job &J, Instant Now) const;
   std::optional<Position> requiredPositionFor(const Job &J) const;
@@ -244,7 +256,10 @@
   void retryOrFail(const AttemptRef &A, const ServerReply &Reply,
                    bool MayHaveRun);
   void finish(const JobRef &J, JobResult Result);
-  void handleUnservable(const JobRef &J, Instant Now);
+  bool canServe(const Job &J, const std::vector<ServerLoad> &Loads,
+                Instant Now) const;
+  void handleUnservable(const JobRef &J, const std::vector<ServerLoad> &Loads,
+                        Instant Now);
   /// What this proxy knows about a primary that it can't use now.
   PrimaryOutage outage(Instant Now) const;
   Duration retryHint(const Job &J) const;
@@ -257,8 +272,12 @@
   /// Handles the timeouts of one statement: refuses it if it has waited too
   /// long, hedges a slow read, and ends an attempt that exceeds the statement
   /// timeout.
-  void expire(const JobRef &J, Instant Now);
+  void expire(const JobRef &J, const std::vector<ServerLoad> &Loads,
+              Instant Now);
   /// Lets another server run a read that has had no answer for hedgeDelay().
+  /// While statements wait, this is done only if the server has answered
+  /// nothing at all since: an attempt that is slow because of the load would
+  /// take a slot from one that waits.
   void hedge(const JobRef &J, Instant Now);
   /// Null if this proxy may not use the primary now or does not know the
   /// server.
@@ -267,6 +286,9 @@
   /// drain recently.
   bool usable(const ServerPool &Pool, Instant Now) const;
 
+  /// Statements were sent to the server for longer than the tolerance, and it
+  /// has answered nothing since.
+  bool silent(const ServerPool &Pool, Instant Now) const;
   void queryStatus(const std::shared_ptr<ServerPool> &Pool,
                    const ConnectionRef &Connection);
   void expireStatus(Instant Now);
@@ -310,6 +332,7 @@
   std::array<TimeEstimate, PriorityCount> RunTimes;
   /// Statements that wait for a server, in order of arrival in the queue.
   std::list<JobRef> Waiting;
+  std::array<unsigned, PriorityCount> WaitingByPriority{};
   /// All statements that this proxy has to answer or run itself, waiting ones
   /// included.
   std::list<JobRef> Active;
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -7,6 +7,7 @@
 #define EELGRASSLOOM_ENGINE_SESSION_H
 
 #include "engine/group.h"
+#include "kernel/resend.h"
 #include <deque>
 
 namespace eelgrassloom {
@@ -61,6 +62,9 @@
   void handleResult(JobRef J, JobResult Result);
   void handleCommitResult(JobResult Result);
   void answer(CallerReply R);
+  /// Remembers that the current operation was refused and nothing of it is
+  /// kept, so that the caller will probably send it again.
+  void noteRefusal(ReplyCode Code);
   /// Passes the answer of a server on to the caller.
   void passOn(ServerReply From);
   void answerOk();
@@ -86,6 +90,9 @@
   SessionCommit LastCommit;
   /// Arrival of the current operation: the transaction, or a single statement.
   Instant OperationStart;
+  /// See Job::FirstTry.
+  Instant FirstTry;
+  std::optional<RefusedOperation> LastRefused;
   Instant Arrived;
   Instant IdleSince;
   std::deque<Statement> Queue;
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -11,6 +11,8 @@
 /// Number of fallback proxies to which a statement that can't run here is sent
 /// before it is refused.
 constexpr unsigned MaxFallbackAttempts = 2;
+/// Number of owners whose answer a statement may miss before it runs here.
+constexpr unsigned MaxSilentOwners = 1;
 /// Interval at which owners are connected in advance, so that statements find
 /// an open connection.
 constexpr Duration PreconnectInterval = std::chrono::milliseconds(100);
@@ -39,6 +41,7 @@
   M.LastCommit = J.LastCommit;
   M.Age = Now - J.Arrived;
   M.OperationAge = Now - J.OperationStart;
+  M.FirstTryAge = Now - J.FirstTry;
   return M;
 }
 
@@ -96,6 +99,10 @@
   std::vector<ProxyId> Order =
       rankedOwners(Table, {}, std::string(Service) + "/" + Self);
   std::erase(Order, Self);
+  std::set<ProxyId> Owners = ownersOf(Table, Service);
+  std::stable_partition(Order.begin(), Order.end(), [&](const ProxyId &Id) {
+    return Owners.count(Id) != 0;
+  });
   return FallbackOrders.emplace(std::string(Service), std::move(Order))
       .first->second;
 }
@@ -194,11 +201,9 @@
   JobRef J = It->second;
   Connection->Pending.erase(It);
   if (Answer.Unservable) {
-    J->ForwardedTo.reset();
-    J->LocalOnly = true;
     Connection->AvoidUntil[J->Route.Service] =
         SessionEngine.runtime().Now() + Options.AvoidTime;
-    SessionEngine.group(J->Route.Service)->submit(J);
+    handleUnservable(J);
     return;
   }
   bool HadTransaction = J->Pinned.has_value();
@@ -216,6 +221,19 @@
   finish(J, std::move(Result));
 }
 
+/// Another proxy could not run the statement. A fallback proxy may reach the
+/// primary, and the owners among them have connections to it. During a
+/// promotion nobody can run it.
+void StatementForwarder::handleUnservable(const JobRef &J) {
+  J->ForwardedTo.reset();
+  auto G = SessionEngine.group(J->Route.Service);
+  bool Revoked = G->primaryRecord().Stage == GroupStage::Revoking;
+  if (!Revoked && forwardToFallback(J))
+    return;
+  J->LocalOnly = true;
+  G->submit(J);
+}
+
 void StatementForwarder::finish(const JobRef &J, JobResult Result) {
   if (J->Finished)
     return;
@@ -243,16 +261,13 @@
     Done(std::move(Result));
 }
 
-/// The answer of the owner can't arrive any more. The statement runs here if
-/// running it a second time is safe; its outcome is unknown otherwise.
+/// The answer of the owner can't arrive any more. The statement runs elsewhere
+/// if running it a second time is safe; its outcome is unknown otherwise.
 void StatementForwarder::handleNoAnswer(const JobRef &J) {
   if (J->Finished)
     return;
-  auto G = SessionEngine.group(J->Route.Service);
-  if (detail::repeatable(*J) && G) {
-    J->ForwardedTo.reset();
-    J->LocalOnly = true;
-    G->submit(J);
+  if (detail::repeatable(*J)) {
+    rerun(J);
     return;
   }
   JobResult Result;
@@ -260,9 +275,38 @@
   finish(J, std::move(Result));
 }
 
+/// Runs a statement without an answer at the next owner, and here if that one
+/// does not answer either. If it ran here at once, all proxies of the failure
+/// domain would open connections to the servers together.
+void StatementForwarder::rerun(const JobRef &J) {
+  J->ForwardedTo.reset();
+  J->LocalOnly = ++J->SilentOwners > detail::MaxSilentOwners;
+  SessionEngine.group(J->Route.Service)->submit(J);
+}
+
+/// Replaces the connection to a slow owner, and takes back the statements that
+/// it has not answered and that may run a second time. The others wait for its
+/// answer: it has probably run them.
+void StatementForwarder::takeBack(const PeerConnectionRef &Connection) {
+  Connection->Replaced = true;
+  ReplacedConnections.insert(Connection);
+  replace(Connection);
+  std::vector<JobRef> Repeatable;
+  for (const auto &[Exchange, J] : Connection->Pending)
+    if (detail::repeatable(*J))
+      Repeatable.push_back(J);
+  for (const JobRef &J : Repeatable) {
+    Connection->Pending.erase(J->Exchange);
+    Connection->Stream->send(encode(ForwardCancel{J->Exchange}));
+    rerun(J);
+  }
+}
+
 bool StatementForwarder::nothingPending() const {
+  // A replaced connection is kept only while something is open on it.
   auto Unused = [](const auto &Entry) { return Entry.second->Pending.empty(); };
-  return std::all_of(Connections.begin(), Connections.end(), Unused);
+  return ReplacedConnections.empty() &&
+         std::all_of(Connections.begin(), Connections.end(), Unused);
 }
 
 void StatementForwarder::tick() {
@@ -272,6 +316,7 @@
   std::vector<PeerConnectionRef> All;
   for (const auto &Entry : Connections)
     All.push_back(Entry.second);
+  All.insert(All.end(), ReplacedConnections.begin(), ReplacedConnections.end());
   for (const PeerConnectionRef &Connection : All) {
     // After a pause of this process an answer may have arrived that was not
     // read yet, so the ping timeout starts again.
--- a/packages/engine/src/forwardcodec.cpp
+++ b/packages/engine/src/forwardcodec.cpp
@@ -64,7 +64,7 @@
        json::array({M.Write, M.ReadOnly, M.Wrote}), M.Transaction,
        json::array(
            {encodePosition(M.LastCommit.Committed), M.LastCommit.Epoch}),
-       toMicros(M.Age), toMicros(M.OperationAge)});
+       toMicros(M.Age), toMicros(M.OperationAge), toMicros(M.FirstTryAge)});
 }
 
 json encodeBody(const ForwardAnswer &M) {
@@ -169,6 +169,8 @@
                   V.at(11).at(1).get<std::uint64_t>()};
   M.Age = decodeDuration(V.at(12));
   M.OperationAge = decodeDuration(V.at(13));
+  // Proxies of the previous version do not send it.
+  M.FirstTryAge = V.size() > 14 ? decodeDuration(V.at(14)) : M.OperationAge;
   return M;
 }
 
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -103,6 +103,7 @@
   J->LastCommit = M.LastCommit;
   J->Arrived = Now - M.Age;
   J->OperationStart = Now - M.OperationAge;
+  J->FirstTry = Now - M.FirstTryAge;
   if (M.Transaction != 0)
     J->Pinned = Pinned->second;
   Client->Running[M.Exchange] = J;
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -43,16 +43,34 @@
     start(J, J->Pinned->Pool, J->Pinned->Connection, {});
     return;
   }
+  enqueue(J);
+  schedule();
+  Instant Now = Hooks.Now();
+  handleUnservable(J, serverLoads(Now), Now);
+}
+
+void Group::enqueue(const JobRef &J) {
   J->Waiting = true;
   Waiting.push_back(J);
-  schedule();
-  handleUnservable(J, Hooks.Now());
+  ++WaitingByPriority[static_cast<std::size_t>(J->Route.WorkPriority)];
 }
 
-void Group::dequeue(const JobRef &J) {
-  if (J->Waiting)
-    Waiting.remove(J);
+void Group::removeFromQueue(const JobRef &J) {
+  if (!J->Waiting)
+    return;
   J->Waiting = false;
+  Waiting.remove(J);
+  --WaitingByPriority[static_cast<std::size_t>(J->Route.WorkPriority)];
+}
+
+Priority Group::mostUrgentWaiting() const {
+  auto First = std::find_if(WaitingByPriority.begin(), WaitingByPriority.end(),
+                            [](unsigned Count) { return Count != 0; });
+  return static_cast<Priority>(First - WaitingByPriority.begin());
+}
+
+void Group::dequeue(const JobRef &J) {
+  removeFromQueue(J);
   Active.remove(J);
 }
 
@@ -127,11 +145,11 @@
   return Request;
 }
 
-bool Group::tryStart(const JobRef &J, Instant Now) {
-  if (Now < J->NotBefore)
+bool Group::tryStart(const JobRef &J, const std::vector<ServerLoad> &Loads,
+                     Instant Now) {
+  if (Now < J->NotBefore || !anyFree(Loads, J->Route.WorkPriority))
     return false;
   PlacementRequest Request = makePlacementRequest(*J, Now);
-  std::vector<ServerLoad> Loads = serverLoads(Now);
   auto Choice = chooseServer(Request, Loads, Now);
   if (Choice && !Loads[*Choice].Connected) {
     Pools.find(Loads[*Choice].Id)->second->ensureConnection();
@@ -139,14 +157,13 @@
     // connection is better then.
     if (J->Attempts == 0 && Now - J->Arrived < detail::MaxHandshakeWait)
       return false;
-    std::erase_if(Loads, [](const ServerLoad &L) { return !L.Connected; });
+    Request.ConnectedOnly = true;
     Choice = chooseServer(Request, Loads, Now);
   }
   if (!Choice)
     return false;
   auto Pool = Pools.find(Loads[*Choice].Id)->second;
-  J->Waiting = false;
-  Waiting.remove(J);
+  removeFromQueue(J);
   start(J, Pool, Pool->acquire(J->Session), Request);
   return true;
 }
@@ -170,7 +187,7 @@
   Statements.reserve(Jobs.size());
   for (const JobRef &J : Jobs) {
     auto P = static_cast<std::size_t>(J->Route.WorkPriority);
-    Statements.push_back({J->Route.WorkPriority, J->OperationStart,
+    Statements.push_back({J->Route.WorkPriority, J->FirstTry,
                           J->Route.LatencyObjective,
                           upperEstimate(RunTimes[P])});
   }
@@ -185,6 +202,9 @@
   if (Waiting.empty())
     return;
   Instant Now = Hooks.Now();
+  std::vector<ServerLoad> Loads = serverLoads(Now);
+  if (!anyFree(Loads, mostUrgentWaiting()))
+    return;
   std::vector<JobRef> Order = waitingInOrder(Now);
   if (Starts >= AntiStarvationInterval) {
     // The lowest waiting priority, which comes last in the order, has waited
@@ -195,17 +215,20 @@
         });
     std::rotate(Order.begin(), LeastUrgent, LeastUrgent + 1);
   }
-  for (const JobRef &J : Order)
-    if (!J->Finished && J->Waiting && tryStart(J, Now))
-      Starts = J == Order.front() && Starts >= AntiStarvationInterval
-                   ? 0
-                   : Starts + 1;
+  for (const JobRef &J : Order) {
+    if (J->Finished || !J->Waiting || !tryStart(J, Loads, Now))
+      continue;
+    Starts =
+        J == Order.front() && Starts >= AntiStarvationInterval ? 0 : Starts + 1;
+    Loads = serverLoads(Now);
+    if (Waiting.empty() || !anyFree(Loads, mostUrgentWaiting()))
+      return;
+  }
 }
 
 void Group::requeue(const JobRef &J, Duration Delay) {
   J->NotBefore = Hooks.Now() + Delay;
-  J->Waiting = true;
-  Waiting.push_back(J);
+  enqueue(J);
   schedule();
 }
 
@@ -249,10 +272,11 @@
       Now - J->SentAt < detail::hedgeDelay(J->Route.LatencyObjective))
     return;
   auto A = J->CurrentAttempt;
-  if (!A || mayRetry(HedgeBudget,
-                     {AttemptOutcome::NoAnswer, false, false, false, false,
-                      J->Arrived + J->Route.StatementTimeout - Now,
-                      Duration::zero()}) != RetryDecision::Retry)
+  if (!A || (!Waiting.empty() && A->Pool->AppliedAt >= A->SentAt) ||
+      mayRetry(HedgeBudget,
+               {AttemptOutcome::NoAnswer, false, false, false, false,
+                J->Arrived + J->Route.StatementTimeout - Now,
+                Duration::zero()}) != RetryDecision::Retry)
     return;
   A->Pool->exchangeTimedOut(A->SentAt);
   J->Excluded.push_back(A->Pool->server().Id);
@@ -266,16 +290,16 @@
   requeue(J, Duration::zero());
 }
 
-void Group::expire(const JobRef &J, Instant Now) {
+void Group::expire(const JobRef &J, const std::vector<ServerLoad> &Loads,
+                   Instant Now) {
   if (J->Running == 0) {
     Duration Waited = Now - J->Arrived;
     if (Waited >= maxWait(J->Route.StatementTimeout))
       refuse(J, ReplyCode::Busy,
-             servable(makePlacementRequest(*J, Now), serverLoads(Now))
-                 ? "no server was free in time"
-                 : unservableReason(Now));
+             canServe(*J, Loads, Now) ? "no server was free in time"
+                                      : unservableReason(Now));
     else
-      handleUnservable(J, Now);
+      handleUnservable(J, Loads, Now);
     return;
   }
   if (Now - J->Arrived < J->Route.StatementTimeout) {
@@ -313,9 +337,10 @@
   Instant Now = Hooks.Now();
   expireAttempts(Now);
   std::vector<JobRef> Jobs(Active.begin(), Active.end());
+  std::vector<ServerLoad> Loads = serverLoads(Now);
   for (const JobRef &J : Jobs)
     if (!J->Finished)
-      expire(J, Now);
+      expire(J, Loads, Now);
   schedule();
 }
 
--- a/packages/engine/src/grouprefuse.cpp
+++ b/packages/engine/src/grouprefuse.cpp
@@ -14,13 +14,20 @@
 
 } // namespace detail
 
+bool Group::canServe(const Job &J, const std::vector<ServerLoad> &Loads,
+                     Instant Now) const {
+  return primaryReachable(Loads) ||
+         servable(makePlacementRequest(J, Now), Loads);
+}
+
 /// Sends a statement that no server can run now to a fallback proxy, or refuses
 /// it: a caller that is refused at once still has time to try another proxy.
 /// During a promotion no proxy can run it, so it is not sent to one; it waits
 /// if the successor is expected in time.
-void Group::handleUnservable(const JobRef &J, Instant Now) {
-  if (J->Finished || !J->Waiting ||
-      servable(makePlacementRequest(*J, Now), serverLoads(Now)))
+void Group::handleUnservable(const JobRef &J,
+                             const std::vector<ServerLoad> &Loads,
+                             Instant Now) {
+  if (J->Finished || !J->Waiting || canServe(*J, Loads, Now))
     return;
   bool Revoked = Record.Stage == GroupStage::Revoking;
   if (!Revoked && Forwarder != nullptr && Forwarder->forwardToFallback(J)) {
--- a/packages/engine/src/peerconnection.cpp
+++ b/packages/engine/src/peerconnection.cpp
@@ -90,19 +90,8 @@
   if (Connection->Failed)
     return;
   Connection->Failed = true;
-  auto It = Connections.find(Connection->Peer.Id);
-  if (It != Connections.end() && It->second == Connection) {
-    auto Next = std::make_shared<PeerConnection>();
-    Next->Peer = Connection->Peer;
-    Next->NextDial = SessionEngine.runtime().Now() + Options.RedialDelay;
-    auto Current = RegisteredPeers.find(Connection->Peer.Id);
-    if (Current == RegisteredPeers.end()) {
-      Connections.erase(It);
-    } else {
-      Next->Peer = Current->second;
-      It->second = Next;
-    }
-  }
+  ReplacedConnections.erase(Connection);
+  replace(Connection);
   if (!Connection->Stream)
     return;
   Connection->Stream->close();
@@ -118,19 +107,40 @@
     handleNoAnswer(Entry.second);
 }
 
+void StatementForwarder::replace(const PeerConnectionRef &Connection) {
+  auto It = Connections.find(Connection->Peer.Id);
+  if (It == Connections.end() || It->second != Connection)
+    return;
+  auto Current = RegisteredPeers.find(Connection->Peer.Id);
+  if (Current == RegisteredPeers.end()) {
+    Connections.erase(It);
+    return;
+  }
+  auto Next = std::make_shared<PeerConnection>();
+  Next->Peer = Current->second;
+  Next->NextDial = SessionEngine.runtime().Now() + Options.RedialDelay;
+  It->second = Next;
+}
+
 void StatementForwarder::checkConnection(const PeerConnectionRef &Connection,
                                          Instant Now) {
   if (!Connection->Stream ||
       (Connection->Pending.empty() && Connection->OpenTransactions == 0)) {
     Connection->PingedAt.reset();
-    if (Connection->Stream && Connection->Peer.FailureDomain != FailureDomain &&
-        Now - Connection->LastContact >= Options.FallbackIdleTimeout)
+    if (Connection->Replaced)
+      failConnection(Connection, "replaced");
+    else if (Connection->Stream &&
+             Connection->Peer.FailureDomain != FailureDomain &&
+             Now - Connection->LastContact >= Options.FallbackIdleTimeout)
       failConnection(Connection, "idle connection to another failure domain");
     return;
   }
   if (Connection->PingedAt) {
-    if (Now - *Connection->PingedAt >= Options.PingTimeout)
+    Duration Silent = Now - *Connection->PingedAt;
+    if (Silent >= Options.FailureTimeout)
       failConnection(Connection, "silent");
+    else if (Silent >= Options.PingTimeout && !Connection->Replaced)
+      takeBack(Connection);
     return;
   }
   Duration After = Connection->Pending.empty() ? Options.IdlePingInterval
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -12,6 +12,20 @@
          K == StatementKind::Execute;
 }
 
+/// True if the statement begins an operation when no transaction is open.
+bool beginsOperation(StatementKind K) {
+  return isDataStatement(K) || K == StatementKind::Begin ||
+         K == StatementKind::BeginRead;
+}
+
+/// True for answers after which callers send the whole operation again.
+bool keepsNothing(ReplyCode Code) {
+  return Code == ReplyCode::Busy || Code == ReplyCode::Aborted ||
+         Code == ReplyCode::Lagging || Code == ReplyCode::ReadOnly ||
+         Code == ReplyCode::WrongServer ||
+         Code == ReplyCode::TooManyConnections;
+}
+
 } // namespace detail
 
 std::shared_ptr<Session> Session::create(Engine &SessionEngine, SessionId Id,
@@ -56,8 +70,11 @@
 
 void Session::handle(const Statement &S) {
   Arrived = SessionEngine.runtime().Now();
-  if (State == TransactionState::None)
+  if (State == TransactionState::None && detail::beginsOperation(S.Kind)) {
     OperationStart = Arrived;
+    FirstTry = firstTry(LastRefused, Arrived);
+    LastRefused.reset();
+  }
   bool Ends =
       S.Kind == StatementKind::Commit || S.Kind == StatementKind::Rollback;
   if (EndedByProxy && !Ends) {
@@ -171,6 +188,7 @@
   J->LastCommit = LastCommit;
   J->Arrived = Arrived;
   J->OperationStart = OperationStart;
+  J->FirstTry = FirstTry;
   J->Done = [Self = shared_from_this()](JobResult Result) {
     Self->handleResult(std::move(Self->Current), std::move(Result));
     Self->processQueue();
@@ -275,7 +293,14 @@
   Reply(std::move(R));
 }
 
+void Session::noteRefusal(ReplyCode Code) {
+  if (detail::keepsNothing(Code))
+    LastRefused = RefusedOperation{FirstTry, SessionEngine.runtime().Now()};
+}
+
 void Session::passOn(ServerReply From) {
+  if (From.Error)
+    noteRefusal(*From.Error);
   CallerReply Out;
   Out.Error = From.Error;
   Out.ErrorText = std::move(From.ErrorText);
@@ -288,6 +313,7 @@
 void Session::answerOk() { answer({}); }
 
 void Session::answerError(ReplyCode Code, std::string Text) {
+  noteRefusal(Code);
   CallerReply R;
   R.Error = Code;
   R.ErrorText = std::move(Text);
--- a/packages/kernel/include/kernel/ownership.h
+++ b/packages/kernel/include/kernel/ownership.h
@@ -9,6 +9,7 @@
 #include "kernel/model.h"
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -58,6 +59,9 @@
                                   std::string_view FailureDomain,
                                   std::string_view Key);
 
+/// The first owner of \p Key in each failure domain.
+std::set<ProxyId> ownersOf(const OwnerTable &T, std::string_view Key);
+
 /// Proxies that hold the platform watches: up to \p PerFailureDomain of each
 /// failure domain, sorted by id.
 std::vector<ProxyId> watchHolders(const OwnerTable &T,
--- a/packages/kernel/include/kernel/placement.h
+++ b/packages/kernel/include/kernel/placement.h
@@ -48,6 +48,8 @@
   Priority WorkPriority = Priority::Normal;
   /// Servers that this statement has tried without success.
   const std::vector<UpstreamId> *Excluded = nullptr;
+  /// Only servers with an idle connection qualify.
+  bool ConnectedOnly = false;
 };
 
 /// Time for which a replica that lacked a position is not tried again for it.
@@ -58,6 +60,13 @@
                                         const std::vector<ServerLoad> &Servers,
                                         Instant Now);
 
+/// True if some server can start a statement of priority \p P, as far as its
+/// limit and its connections tell. Load pattern: a queue of hundreds of
+/// statements before servers that are all busy. Each arrival and each answer
+/// would otherwise try to start every one of them, and a small proxy has no
+/// processor time left to answer its peers.
+bool anyFree(const std::vector<ServerLoad> &Servers, Priority P);
+
 /// Maximum number of statements that run at once on a server when a statement
 /// of priority \p P is started. Urgent work may exceed \p Limit by one, so that
 /// it does not wait for other work.
@@ -128,8 +137,8 @@
 /// A waiting statement, as input of waitOrder().
 struct WaitingStatement {
   Priority WorkPriority = Priority::Normal;
-  /// Arrival of its operation.
-  Instant OperationStart;
+  /// Arrival of its operation, or of the first try of it that was refused.
+  Instant FirstTry;
   /// Latency objective of the operation.
   Duration LatencyObjective{0};
   /// Expected time from the start of an attempt to its answer.
@@ -151,6 +160,10 @@
 /// Maximum time that a statement waits for a free server before it is refused.
 Duration maxWait(Duration StatementTimeout);
 
+/// True if the primary can be used and reached; every statement is servable
+/// then.
+bool primaryReachable(const std::vector<ServerLoad> &Servers);
+
 /// True if some server can run the statement, now or after other work.
 /// Otherwise, for example if this proxy can't reach the primary, the statement
 /// is refused at once, so that the caller can try another proxy that may reach
--- a/packages/kernel/src/ownership.cpp
+++ b/packages/kernel/src/ownership.cpp
@@ -86,6 +86,15 @@
       Domain == T.ByFailureDomain.end() ? T.All : Domain->second, Key);
 }
 
+std::set<ProxyId> ownersOf(const OwnerTable &T, std::string_view Key) {
+  std::set<ProxyId> Owners;
+  std::uint64_t KeyHash = detail::hashOf(Key);
+  for (const auto &[Domain, Proxies] : T.ByFailureDomain)
+    if (const auto *Owner = detail::winner(Proxies, KeyHash))
+      Owners.insert(Owner->Id);
+  return Owners;
+}
+
 std::vector<ProxyId> watchHolders(const OwnerTable &T,
                                   unsigned PerFailureDomain) {
   std::vector<ProxyId> Holders;
--- a/packages/kernel/src/placement.cpp
+++ b/packages/kernel/src/placement.cpp
@@ -31,11 +31,15 @@
   return Server.Applied >= Required || Now - Server.AppliedAt >= LagRetryDelay;
 }
 
+bool hasRoom(const ServerLoad &Server, Priority P) {
+  return Server.Available && Server.InFlight < limitFor(Server.Limit, P);
+}
+
 /// True if the statement may start on the server now.
 bool usable(const PlacementRequest &Request, const ServerLoad &Server,
             Instant Now) {
-  if (!Server.Available ||
-      Server.InFlight >= limitFor(Server.Limit, Request.WorkPriority))
+  if (!hasRoom(Server, Request.WorkPriority) ||
+      (Request.ConnectedOnly && !Server.Connected))
     return false;
   if (Server.Primary)
     return true;
@@ -53,6 +57,12 @@
 
 } // namespace detail
 
+bool anyFree(const std::vector<ServerLoad> &Servers, Priority P) {
+  return std::any_of(
+      Servers.begin(), Servers.end(),
+      [P](const ServerLoad &Server) { return detail::hasRoom(Server, P); });
+}
+
 unsigned limitFor(unsigned Limit, Priority P) {
   return P == Priority::Urgent ? Limit + 1 : Limit;
 }
@@ -104,12 +114,12 @@
   std::vector<WaitKey> Keys;
   Keys.reserve(Waiting.size());
   for (const WaitingStatement &W : Waiting) {
-    Instant Due = W.OperationStart + W.LatencyObjective;
+    Instant Due = W.FirstTry + W.LatencyObjective;
     bool Late = Now + W.ExpectedRun >= Due;
     Keys.push_back({Late, W.WorkPriority, Due});
     auto LongWait = std::chrono::duration_cast<Duration>(W.LatencyObjective *
                                                          detail::OverloadShare);
-    if (!Late && Now - W.OperationStart >= LongWait)
+    if (!Late && Now - W.FirstTry >= LongWait)
       Overloaded[static_cast<std::size_t>(W.WorkPriority)] = true;
   }
   for (WaitKey &Key : Keys)
@@ -135,6 +145,13 @@
                                               detail::WaitShare);
 }
 
+bool primaryReachable(const std::vector<ServerLoad> &Servers) {
+  return std::any_of(Servers.begin(), Servers.end(),
+                     [](const ServerLoad &Server) {
+                       return Server.Primary && !Server.Unreachable;
+                     });
+}
+
 bool servable(const PlacementRequest &Request,
               const std::vector<ServerLoad> &Servers) {
   return std::any_of(
--- a/packages/kernel/src/primary.cpp
+++ b/packages/kernel/src/primary.cpp
@@ -1,4 +1,5 @@
 #include "kernel/primary.h"
+#include <algorithm>
 
 namespace eelgrassloom {
 
@@ -21,10 +22,15 @@
 
 std::optional<Position> requiredPosition(const PrimaryPositions &P,
                                          Instant ReadStart, Duration Bound) {
-  for (const PrimaryPosition &Sample : P.Recent)
-    if (Sample.At >= ReadStart - Bound)
-      return Sample.Committed;
-  return std::nullopt;
+  // The samples are in order of time, but for those of a new epoch that were
+  // requested before the last one of the old epoch. A later sample than needed
+  // is strict enough as well.
+  auto Sample = std::partition_point(
+      P.Recent.begin(), P.Recent.end(),
+      [&](const PrimaryPosition &Each) { return Each.At < ReadStart - Bound; });
+  if (Sample == P.Recent.end())
+    return std::nullopt;
+  return Sample->Committed;
 }
 
 std::optional<Position> requiredForSession(const PrimaryPositions &P,
