A primary that stops to answer is dialed after 250 ms

A status query waited for a position that was 0.45 s old, then 0.6 s for an answer on an open connection, and only then a new connection was tried, which takes 0.75 s to fail. Now a new connection is opened as soon as a statement has had no answer for 250 ms and nothing else was answered since. The test allows 0.4 s to the dial and 1.15 s to the report.

--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -96,6 +96,9 @@
   void release(const ConnectionRef &Connection, bool Reuse);
   /// Starts to open a connection if none is idle and the limits allow it.
   void ensureConnection();
+  /// Starts to open a connection, if the limits allow it, although one may be
+  /// idle: the open ones may be lost.
+  void openAnother();
 
   bool hasIdle() const;
   /// A connection is idle, is being opened or may be opened now.
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -18,6 +18,10 @@
 /// If no connection is idle for the status query, one is opened when the newest
 /// known position is older than this.
 constexpr Duration DialForPositionAge = std::chrono::milliseconds(700);
+/// A primary that has answered nothing for this long, although a statement was
+/// sent to it, is dialed: only a new connection tells whether it can be
+/// reached. Failure pattern: a partition that drops all packets.
+constexpr Duration SilentPrimaryTime = std::chrono::milliseconds(250);
 /// A proxy that has run a statement of a service that another proxy owns,
 /// because the owner failed, counts as a user of the service for this time. It
 /// goes on querying the primary for its position until then.
@@ -196,6 +200,8 @@
       Entry.second->checkFailure(inUse());
   }
   auto Pool = primaryPool();
+  if (Pool && silent(*Pool, Now))
+    Pool->openAnother();
   if (!Pool || StatusPending || !inUse() || !usable(*Pool, Now))
     return;
   Duration Age = Positions.Recent.empty() ? Duration::max()
@@ -214,6 +220,14 @@
   queryStatus(Pool, Connection);
 }
 
+bool Group::silent(const ServerPool &Pool, Instant Now) const {
+  return std::any_of(
+      Attempts.begin(), Attempts.end(), [&](const AttemptRef &A) {
+        return A->Pool.get() == &Pool && Pool.AppliedAt < A->SentAt &&
+               Now - A->SentAt >= detail::SilentPrimaryTime;
+      });
+}
+
 void Group::queryStatus(const std::shared_ptr<ServerPool> &Pool,
                         const ConnectionRef &Connection) {
   StatusPending = true;
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -90,7 +90,12 @@
 }
 
 void ServerPool::ensureConnection() {
-  if (hasIdle() || !mayDial())
+  if (!hasIdle())
+    openAnother();
+}
+
+void ServerPool::openAnother() {
+  if (!mayDial())
     return;
   ++Dialing;
   Instant StartedAt = Hooks.Now();
--- a/packages/engine/test/group-test.cpp
+++ b/packages/engine/test/group-test.cpp
@@ -198,6 +198,82 @@
   CHECK_FALSE(F.last().Error);
 }
 
+// Guards against a proxy that has no processor time left for its peers. Load
+// pattern: hundreds of statements wait for servers that are all busy. The work
+// for an arrival, an answer or a tick must not grow with the queue.
+TEST_CASE("a long queue before busy servers costs no time") {
+  auto ClockReads = [](std::size_t Queued) {
+    EngineFixture F;
+    std::vector<ServerEntry> Entries;
+    for (const char *Id : {"p", "r1", "r2"}) {
+      F.open("bounded")->submit(read("open connections"));
+      F.open("latest")->submit(read("open connections"));
+      F.advance(20ms);
+      Entries.push_back(F.server(Id).Entry);
+      Entries.back().Slots = 1;
+    }
+    F.SessionEngine->setServers(Entries, 1);
+    for (const char *Id : {"p", "r1", "r2"})
+      F.server(Id).Unresponsive = true;
+    for (std::size_t I = 0; I < Queued; ++I)
+      F.open("latest")->submit(read("q" + std::to_string(I)));
+    F.advance(50ms);
+    // The clock is read at least once for each server that is considered.
+    std::size_t Reads = 0;
+    F.Hooks.Now = [&] {
+      ++Reads;
+      return F.Now;
+    };
+    F.open("latest")->submit(read("last"));
+    F.SessionEngine->tick();
+    return Reads;
+  };
+  CHECK(ClockReads(300) <= 2 * ClockReads(20));
+}
+
+// Guards against slots that second attempts take from waiting statements. Load
+// pattern: reads are slow because of the load, so that all of them would be
+// hedged.
+TEST_CASE(
+    "a slow read is not hedged while others wait and its server answers") {
+  EngineFixture F;
+  F.server("r2").RefusesConnections = true;
+  F.open("bounded")->submit(read("opens a connection"));
+  F.advance(300ms);
+  F.Replies.clear();
+  F.server("r1").Unresponsive = true;
+  F.open("bounded")->submit(read("slow"));
+  F.run();
+  F.server("r1").Unresponsive = false;
+  F.server("p").Unresponsive = true;
+  for (int I = 0; I < 10; ++I)
+    F.open("latest")->submit(read("waits"));
+  for (int I = 0; I < 10; ++I) {
+    F.open("bounded")->submit(read("other"));
+    F.advance(20ms);
+  }
+  CHECK(F.Replies.size() == 10);
+  CHECK(F.server("r1").count("READ slow") + F.server("p").count("READ slow") ==
+        1);
+}
+
+// Guards against a partition that is noticed late: statements wait on open
+// connections to the primary, which will never answer.
+TEST_CASE("a primary that stops to answer is dialed soon") {
+  EngineFixture F;
+  F.open("latest")->submit(read("a"));
+  F.run();
+  std::size_t Before = F.server("p").Handshakes;
+  F.server("p").Unresponsive = true;
+  F.open("latest")->submit(read("b"));
+  F.advance(400ms);
+  CHECK(F.server("p").Handshakes > Before);
+  CHECK(F.SessionEngine->group("s")->unreachableServers().empty());
+  F.advance(750ms);
+  CHECK(F.SessionEngine->group("s")->unreachableServers() ==
+        std::vector<UpstreamId>{"p"});
+}
+
 // Guards against new statements on a server that is about to stop.
 TEST_CASE("a draining replica receives no statement") {
   EngineFixture F;
