The successor of a lost lock holder knows how old heartbeats are

Cause, from the same log: the lock holder was in the partitioned domain. Its successor read the heartbeats of that domain for the first time, took them for new, and waited 0.93 s after the revocation for leases that had ended. The store counts revisions: a heartbeat with a revision that an earlier answer had reached was written before that answer. The test fails without it (the wait is one lease duration) and checks that no lease is left; the random faults of leasewait-test pass.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -14,6 +14,7 @@
 #include "control/rejectedinputs.h"
 #include "control/servers.h"
 #include "engine/engine.h"
+#include "kernel/revisiontimes.h"
 #include <random>
 
 namespace eelgrassloom {
@@ -354,6 +355,8 @@
   /// When the poller last extended the primary leases.
   Instant PollerExtendedAt;
   std::uint64_t WatchRevision = 0;
+  /// Revisions of the store in the answers to polls.
+  RevisionTimes Revisions;
   PromotionLockState PromotionLock;
 
   unsigned PollsInFlight = 0;
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -234,6 +234,7 @@
   RegistrationKnown = true;
   detectEarlierRun(Conditions, Reply);
   WatchRevision = std::max(WatchRevision, Reply.Revision);
+  addRevision(Revisions, Reply.Revision, now());
   PolledAt = std::max(PolledAt, SentAt);
   for (const StoreCondition &Condition : Conditions)
     if (Condition.Key.starts_with(GroupPrefix))
--- a/packages/control/src/proxies.cpp
+++ b/packages/control/src/proxies.cpp
@@ -33,7 +33,8 @@
       continue;
     Heartbeat &Known = Heartbeats[Item.Key.substr(HeartbeatPrefix.size())];
     if (Known.Revision != Item.Revision)
-      Known = {Item.Revision, now(), Known.Revision != 0};
+      Known = {Item.Revision, madeBy(Revisions, Item.Revision).value_or(now()),
+               Known.Revision != 0};
   }
 }
 
--- a/packages/control/test/leasewait-test.cpp
+++ b/packages/control/test/leasewait-test.cpp
@@ -109,6 +109,26 @@
     CHECK(F.hasLease(I));
 }
 
+// The failure domain of the lock holder is partitioned. Its successor reads the
+// heartbeats for the first time, and must not take them for new ones.
+TEST_CASE("the successor of a lost lock holder waits for no ended lease") {
+  // One round of acknowledgements, its read, and the queries of the replicas.
+  CoordinatorOptions Times;
+  Duration Needed = Times.AcknowledgementInterval +
+                    Times.RevokingProxiesInterval +
+                    2 * PromotionOptions().StatusInterval + 4 * AnswerTime;
+  for (int Offset = 0; Offset < 8; ++Offset) {
+    Fleet F(9, 3);
+    F.advance(12s + Offset * 70ms);
+    F.partitionDomain(F.proxy(F.lockHolder()).Domain);
+    F.Keys.put("servers/a", "draining");
+    while (F.record().Stage == GroupStage::Stable)
+      F.advance(F.Step);
+    CHECK(F.timeToPromotion(5s) <= Needed);
+    CHECK_FALSE(formerPrimaryLeased(F));
+  }
+}
+
 // Guards against two primaries in use. A proxy or failure domain that is
 // partitioned right after the revocation still holds primary leases: a proxy
 // may have got one from a peer, also if it had lost the store before, and the
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -66,7 +66,8 @@
 /// poll of the store rewrites the key and so changes its revision.
 struct Heartbeat {
   std::uint64_t Revision = 0;
-  /// When the lock holder first saw this revision.
+  /// A time by which the heartbeat had been written: when the lock holder first
+  /// saw this revision, or learned that the store had reached it.
   Instant SeenAt;
   /// The lock holder has seen an earlier revision as well, so the poll that
   /// wrote this one took place shortly before SeenAt.
