--- a/packages/control/src/configreader.cpp
+++ b/packages/control/src/configreader.cpp
@@ -31,6 +31,8 @@
   logRead("store", name(Reply.Code), Present ? Found->Revision : 0, SentAt);
   if (Present)
     applyStored(*Found);
+  else if (Reply.Code == StoreCode::Ok && !StoreRevision)
+    StoreRevision = 0; // The polls find the first configuration.
   if (!StoreRevision)
     SessionEngine.runtime().After(Options.FirstRetry, [this] { readStore(); });
   else if (ReadDone)
--- a/packages/control/test/configreader-test.cpp
+++ b/packages/control/test/configreader-test.cpp
@@ -43,6 +43,26 @@
   CHECK_FALSE(F.proxy(I).Control->configStatus().Outdated);
 }
 
+// Guards against a fleet that loads the store while it waits for its first
+// configuration: every proxy read the missing key several times a second.
+TEST_CASE("a missing configuration is read once and found by the polls") {
+  Fleet F(6, 3);
+  F.Keys.Items.erase("rules");
+  F.advance(3s);
+  for (auto &P : F.Members) {
+    std::string Lines = P->Events->take();
+    std::size_t Reads = 0;
+    for (std::size_t At = Lines.find("\"configuration-read\"");
+         At != std::string::npos;
+         At = Lines.find("\"configuration-read\"", At + 1))
+      ++Reads;
+    CHECK(Reads == 1);
+  }
+  F.Keys.put("rules", "3");
+  F.advance(1s);
+  CHECK(allHave(F, 3));
+}
+
 // Guards against an older configuration replacing a newer one.
 TEST_CASE("a configuration whose version is not newer is rejected and logged") {
   Fleet F(1);
