--- a/packages/control/include/control/store.h
+++ b/packages/control/include/control/store.h
@@ -52,6 +52,8 @@
   /// Identifier and duration of a store lease.
   std::uint64_t LeaseId = 0;
   Duration LeaseDuration{0};
+  /// The answer is one page of a range, and others follow.
+  bool More = false;
 };
 
 struct StoreCondition {
