Two tests fail without the change that they guard

A run of all new tests against sources with the changes taken out one by one showed two that passed nevertheless: the first configuration was read before the test removed it, and a hedged read opened the connection that the test of a silent primary waits for. Both fail now without the change; so do those of slow owners, hedging, the queue, heartbeats and the malformed answer of the store.

--- a/packages/control/test/configreader-test.cpp
+++ b/packages/control/test/configreader-test.cpp
@@ -46,8 +46,10 @@
 // Guards against a fleet that loads the store while it waits for its first
 // configuration: every proxy read the missing key several times a second.
 TEST_CASE("a missing configuration is read once and found by the polls") {
-  Fleet F(6, 3);
+  Fleet F(0);
   F.Keys.Items.erase("rules");
+  for (const char *Id : {"p0", "p1", "p2"})
+    F.addProxy(Id);
   F.advance(3s);
   for (auto &P : F.Members) {
     std::string Lines = P->Events->take();
--- a/packages/engine/test/group-test.cpp
+++ b/packages/engine/test/group-test.cpp
@@ -263,9 +263,10 @@
   EngineFixture F;
   F.open("latest")->submit(read("a"));
   F.run();
+  F.advance(20ms);
   std::size_t Before = F.server("p").Handshakes;
   F.server("p").Unresponsive = true;
-  F.open("latest")->submit(read("b"));
+  F.open("latest")->submit(write("b"));
   F.advance(400ms);
   CHECK(F.server("p").Handshakes > Before);
   CHECK(F.SessionEngine->group("s")->unreachableServers().empty());
