Large hosts own more services and hold the promotion lock

Cause, from the log of one split primary among 195 hosts: all six failure domains reported it as unreachable after 1.2 s, and it was not revoked for 7 s. The holder of the lock had 0.12 of a core; it reads 390 keys each 0.12 s then and pings 194 proxies each 0.2 s, and could not count enough answers to believe that it was not on the smaller side of a partition.

- A registration states the processor share of its host.
Owners are chosen by weighted rendezvous hashing with the square of the share; for equal hosts the owners stay the same.
- Hosts with less than 0.2 of a core leave the lock to others for 0.6 s.
- Only proxies that were silent for 0.5 s are pinged.

Cause, from the log of a partition of one domain: a promotion waited 1.75 s for leases, because 11 proxies of that domain had been answered by others shortly before. A proxy took the age of what it knew for a loss of the store, as its poller answers each 0.25 s and polls each 0.5 s. It now asks its poller once more, and others only if the poller has lost the store or does not answer.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -26,6 +26,9 @@
   /// Duration of a primary lease, counted from the start of the poll or of the
   /// round of peer requests that gave it.
   Duration LeaseDuration = std::chrono::milliseconds(1200);
+  /// A poller whose last poll is older than the interval by this much when it
+  /// answers has lost the store; covers an answer that takes long.
+  Duration PollerSlack = std::chrono::milliseconds(200);
   /// When a poll is overdue by this much, the proxy requests the last polls of
   /// its peers and, if no poller extends its primary leases, a lease extension.
   Duration PollSlack = std::chrono::milliseconds(250);
@@ -84,6 +87,13 @@
   /// Upper limit of the random delay before a proxy acquires a free promotion
   /// lock.
   Duration MaxPromotionLockDelay = std::chrono::milliseconds(300);
+  /// Hosts with a smaller processor share leave the lock to others if they can:
+  /// its holder reads the registrations of the whole fleet several times a
+  /// second, and pings all proxies while a primary is unreachable.
+  unsigned MinHolderMilliCores = 200;
+  /// Additional delay for such hosts; longer than the poll interval, so that
+  /// they see that another proxy has acquired the lock.
+  Duration SmallHostLockDelay = std::chrono::milliseconds(600);
   /// A holder of the promotion lock that shuts down continues the promotions in
   /// progress for up to this time before it releases the lock. Well within the
   /// grace period of a shutdown.
@@ -113,9 +123,10 @@
 
   /// Connects the coordinator with \p Registered, which it keeps up to date and
   /// which must outlive it. \p Address is published in the registration as the
-  /// address of this proxy; \p ToProxies opens streams to other proxies.
+  /// address of this proxy, \p MilliCores as its processor share (see
+  /// LiveProxy); \p ToProxies opens streams to other proxies.
   void attach(Peers &Registered, std::string Address, std::string FailureDomain,
-              PeerDialer ToProxies);
+              PeerDialer ToProxies, unsigned MilliCores = 0);
   void start();
   /// Releases the promotion lock and deletes the registration. Calls \p Done
   /// when the store has answered or the call has failed.
@@ -230,6 +241,16 @@
   Duration retryPause() const;
   /// The last answered poll, by this proxy or relayed, is overdue.
   bool pollOverdue() const;
+  bool lastPollOld() const {
+    return now() - PolledAt > Options.PollInterval + Options.PollSlack;
+  }
+  /// The poller answers, and its last poll was not overdue when it did.
+  bool pollerInTime() const;
+  /// This host should leave the promotion lock to others.
+  bool smallHost() const {
+    return DesiredRegistration.MilliCores != 0 &&
+           DesiredRegistration.MilliCores < Options.MinHolderMilliCores;
+  }
   /// Pause after a read that got no answer. During an outage it is \p Interval,
   /// so that the polls are the only frequent calls and few calls are refused.
   Duration readPause(Duration Interval) const;
@@ -354,6 +375,8 @@
   Instant OwnPolledAt;
   /// When the poller last extended the primary leases.
   Instant PollerExtendedAt;
+  /// Age of the last poll of the poller when it last answered.
+  Duration RelayedPollAge{0};
   std::uint64_t WatchRevision = 0;
   /// Revisions of the store in the answers to polls.
   RevisionTimes Revisions;
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -163,8 +163,11 @@
     AnswerCallback = std::move(Handler);
   }
 
-  /// Pings all other registered proxies.
-  void pingAll();
+  /// Pings the registered proxies that have sent nothing since \p Since.
+  void pingSilent(Instant Since);
+  /// Requests the last poll of the poller before the interval has passed, if
+  /// the last request was answered.
+  void askPollerAgain();
   /// Returns an empty string if the proxy is not registered.
   std::string addressOf(const ProxyId &Id) const;
   /// When the last message from the proxy was received; the zero time if none
--- a/packages/control/include/control/records.h
+++ b/packages/control/include/control/records.h
@@ -47,6 +47,8 @@
   /// IP:port for datagrams of other proxies.
   std::string Address;
   std::string FailureDomain;
+  /// See LiveProxy::MilliCores.
+  unsigned MilliCores = 0;
   bool Evicted = false;
   /// Servers to which new connections from this proxy fail.
   std::set<UpstreamId, std::less<>> Unreachable;
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -76,12 +76,14 @@
 }
 
 void Coordinator::attach(Peers &Registered, std::string Address,
-                         std::string FailureDomain, PeerDialer ToProxies) {
+                         std::string FailureDomain, PeerDialer ToProxies,
+                         unsigned MilliCores) {
   Servers->setDialer(ToProxies);
   Config->setDialer(std::move(ToProxies));
   PeerProxies = &Registered;
   DesiredRegistration.Address = std::move(Address);
   DesiredRegistration.FailureDomain = std::move(FailureDomain);
+  DesiredRegistration.MilliCores = MilliCores;
   Registered.extendIf([this](const std::string &Service, std::uint64_t Epoch) {
     return mayExtend(Service, Epoch);
   });
@@ -131,6 +133,10 @@
   tickPromotions();
   if (PeerProxies == nullptr)
     return;
+  // Well before the poll is overdue, so that the answer arrives in time.
+  if (pollerInTime() &&
+      now() - PolledAt > Options.PollInterval + Options.PollSlack / 2)
+    PeerProxies->askPollerAgain();
   PeerProxies->setStoreSummary(
       {Config->revision(), PolledAt, Servers->digest(), Servers->revision()});
   bool Overdue = pollOverdue();
@@ -140,8 +146,18 @@
   updateIsolation();
 }
 
+/// What this proxy knows of the last poll of its poller may be older than the
+/// poll itself. Load pattern: hundreds of proxies that each took this for a
+/// loss of the store several times a minute, and asked three others. A proxy
+/// that was answered so may hold a lease, and promotions waited for it.
 bool Coordinator::pollOverdue() const {
-  return now() - PolledAt > Options.PollInterval + Options.PollSlack;
+  return lastPollOld() && !pollerInTime();
+}
+
+bool Coordinator::pollerInTime() const {
+  return PeerProxies != nullptr && !PeerProxies->isPoller() &&
+         PeerProxies->pollerAnswers() &&
+         RelayedPollAge <= Options.PollInterval + Options.PollerSlack;
 }
 
 StoreStatus Coordinator::storeStatus() const {
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -54,7 +54,7 @@
   bool KnewCrossDomainPeers = CrossDomainPeersKnown;
   CrossDomainPeersKnown = false;
   for (const PeerInfo &P : RegisteredPeers) {
-    Live.push_back({P.Id, P.FailureDomain});
+    Live.push_back({P.Id, P.FailureDomain, false, P.MilliCores});
     CrossDomainPeersKnown =
         CrossDomainPeersKnown || P.FailureDomain != FailureDomain;
   }
@@ -330,9 +330,15 @@
     CrossDomainContactAt = SessionEngine.runtime().Now();
 }
 
-void Peers::pingAll() {
+void Peers::pingSilent(Instant Since) {
   sendIf(encodePing(true, NextExchange++),
-         [](const PeerInfo &) { return true; });
+         [&](const PeerInfo &P) { return lastContact(P.Id) < Since; });
+}
+
+void Peers::askPollerAgain() {
+  // A new request would make an answer to the last one worthless.
+  if (PollerContactAt >= PollerSentAt)
+    NextPollerRequest = SessionEngine.runtime().Now();
 }
 
 const PeerInfo *Peers::findPeer(const ProxyId &Id) const {
--- a/packages/control/src/promotion.cpp
+++ b/packages/control/src/promotion.cpp
@@ -120,7 +120,7 @@
   // PromotionOptions::MinorityTolerance.
   if (Reported && PeerProxies != nullptr && now() >= PromotionLock.NextPing) {
     PromotionLock.NextPing = now() + Options.AcknowledgementInterval;
-    PeerProxies->pingAll();
+    PeerProxies->pingSilent(now() - Options.ReachableTime / 2);
   }
   Instant Next = now() + (Revoking || Reported ? Options.RevokingProxiesInterval
                                                : Options.HolderProxiesInterval);
--- a/packages/control/src/promotionlock.cpp
+++ b/packages/control/src/promotionlock.cpp
@@ -31,6 +31,8 @@
   }
   if (!PromotionLock.AcquireAt) {
     PromotionLock.AcquireAt = Now + jitter(Options.MaxPromotionLockDelay);
+    if (smallHost())
+      *PromotionLock.AcquireAt += Options.SmallHostLockDelay;
     // Read the heartbeats now: the earlier this proxy has seen the last polls,
     // the earlier it knows that the primary leases they gave have expired.
     NextProxies = Now;
--- a/packages/control/src/proxies.cpp
+++ b/packages/control/src/proxies.cpp
@@ -67,7 +67,8 @@
     if (Record.Id == Self && Record.Evicted)
       NextPoll = now(); // The poll finds the eviction; then it registers.
     if (!Record.Evicted)
-      Registered.push_back({Record.Id, Record.Address, Record.FailureDomain});
+      Registered.push_back(
+          {Record.Id, Record.Address, Record.FailureDomain, Record.MilliCores});
   }
   if (PeerProxies != nullptr)
     PeerProxies->setPeers(std::move(Registered), SentAt);
--- a/packages/control/src/records.cpp
+++ b/packages/control/src/records.cpp
@@ -66,6 +66,7 @@
   return json{{"incarnation", R.Incarnation},
               {"address", R.Address},
               {"failure_domain", R.FailureDomain},
+              {"milli_cores", R.MilliCores},
               {"evicted", R.Evicted},
               {"unreachable", R.Unreachable},
               {"acknowledged", R.Acknowledged},
@@ -80,6 +81,8 @@
     R.Incarnation = Value.at("incarnation").get<std::uint64_t>();
     R.Address = Value.at("address").get<std::string>();
     R.FailureDomain = Value.at("failure_domain").get<std::string>();
+    // Proxies of the previous version do not report it.
+    R.MilliCores = Value.value("milli_cores", 0U);
     R.Evicted = Value.at("evicted").get<bool>();
     R.Unreachable =
         Value.at("unreachable").get<std::set<UpstreamId, std::less<>>>();
--- a/packages/control/src/relayedpoll.cpp
+++ b/packages/control/src/relayedpoll.cpp
@@ -64,6 +64,8 @@
 /// also extend the leases of this proxy for the same epochs.
 void Coordinator::handleRelayedPoll(const RelayedPoll &Poll) {
   const PeerMessage &Answer = Poll.Answer;
+  if (Poll.FromPoller)
+    RelayedPollAge = Answer.PollAge;
   bool NewConfig = Config->isNewer(Answer.ConfigRevision);
   std::string Address = PeerProxies->addressOf(Answer.From);
   if (NewConfig)
--- a/packages/control/test/coordinator-test.cpp
+++ b/packages/control/test/coordinator-test.cpp
@@ -1,5 +1,6 @@
 #include "control/coordinator.h"
 #include "fakestore.h"
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace eelgrassloom;
@@ -101,6 +102,24 @@
   CHECK(F.Promotions[0].second == 2);
 }
 
+// Guards against a slow lock holder. The fault occurred with 195 proxies, whose
+// holder of 0.12 of a core was busy with reads and pings for 5 s and replaced
+// no primary meanwhile.
+TEST_CASE("a small host leaves the promotion lock to a larger one") {
+  for (std::size_t Large = 0; Large < 6; ++Large) {
+    std::vector<unsigned> Shares(6, 120);
+    Shares[Large] = 500;
+    Fleet F(6, 3, Shares);
+    F.advance(5s);
+    CHECK(F.lockHolder() == Large);
+    F.proxy(Large).Stopped = true;
+    F.advance(5s);
+    CHECK(std::any_of(F.Members.begin(), F.Members.end(), [](const auto &P) {
+      return !P->Stopped && P->Control->holdsPromotionLock();
+    }));
+  }
+}
+
 // A write that took effect although its answer was lost must be recognised.
 TEST_CASE("lost answers of the store only delay a promotion") {
   Fleet F(4);
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -220,7 +220,9 @@
   reply(Timeout, std::move(Reply), std::move(Done));
 }
 
-Fleet::Fleet(std::size_t Proxies, std::size_t Domains) {
+Fleet::Fleet(std::size_t Proxies, std::size_t Domains,
+             std::vector<unsigned> Shares)
+    : MilliCores(std::move(Shares)) {
   Keys.put("rules", "1");
   for (const char *Id : {"a", "b", "c"})
     Keys.put("servers/" + std::string(Id), "up");
@@ -307,7 +309,9 @@
   P->Forwarder->setStateProviders(
       [Control] { return Control->currentConfig(); },
       [Control] { return Control->currentServers(); });
-  P->Control->attach(*P->PeerProxies, Id, Domain, dialerOf(*P));
+  std::size_t Index = Members.size();
+  P->Control->attach(*P->PeerProxies, Id, Domain, dialerOf(*P),
+                     Index < MilliCores.size() ? MilliCores[Index] : 0);
   P->Control->start();
   Members.push_back(std::move(P));
 }
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -119,7 +119,10 @@
 /// Proxies `p0`, `p1`, ... in front of one group `s` of the servers a, b and c.
 class Fleet {
 public:
-  explicit Fleet(std::size_t Proxies, std::size_t Domains = 1);
+  /// \p Shares: processor shares of the first proxies, see
+  /// LiveProxy::MilliCores; those of the others are unknown.
+  explicit Fleet(std::size_t Proxies, std::size_t Domains = 1,
+                 std::vector<unsigned> Shares = {});
 
   void advance(Duration D);
   FakeProxy &proxy(std::size_t I) { return *Members.at(I); }
@@ -134,6 +137,7 @@
   Duration timeToPromotion(Duration Max, std::size_t Earlier = 0);
   PrimaryRecord record();
 
+  const std::vector<unsigned> MilliCores;
   FakeClock Time;
   /// Time between two ticks of the proxies.
   Duration Step = std::chrono::milliseconds(5);
--- a/packages/control/test/relayedpoll-test.cpp
+++ b/packages/control/test/relayedpoll-test.cpp
@@ -48,6 +48,21 @@
   }
 }
 
+// Guards against requests to proxies of other failure domains, and promotions
+// that wait for leases which such a request may have extended. Load pattern:
+// hundreds of idle proxies, whose timers run late.
+TEST_CASE("proxies ask only their poller while it polls in time") {
+  Fleet F(12, 3);
+  F.advance(10s);
+  F.Step = 50ms;
+  for (int I = 0; I < 40; ++I) {
+    F.advance(500ms);
+    for (auto &P : F.Members)
+      for (const ProxyId &Id : P->PeerProxies->answeredSince(F.Time.Now - 1s))
+        CHECK(F.find(Id)->Domain == P->Domain);
+  }
+}
+
 // A proxy that seldom polls the store itself must still apply a new
 // configuration in time.
 TEST_CASE("relayed polls announce a new configuration") {
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -27,6 +27,10 @@
   /// IP:port of its datagrams and its streams; empty if unknown.
   std::string Address;
   std::string FailureDomain;
+  /// See LiveProxy::MilliCores.
+  unsigned MilliCores = 0;
+
+  bool operator==(const PeerInfo &) const = default;
 };
 
 /// Ordered connection to another proxy that carries whole messages.
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -60,8 +60,10 @@
   std::vector<LiveProxy> Live;
   for (const PeerInfo &Peer : Registered) {
     Next[Peer.Id] = Peer;
-    Live.push_back({Peer.Id, Peer.FailureDomain});
+    Live.push_back({Peer.Id, Peer.FailureDomain, false, Peer.MilliCores});
   }
+  if (Next == RegisteredPeers)
+    return;
   RegisteredPeers = std::move(Next);
   Table = makeOwnerTable(Live);
   OwnerOrders.clear();
--- a/packages/kernel/include/kernel/ownership.h
+++ b/packages/kernel/include/kernel/ownership.h
@@ -22,6 +22,11 @@
   std::string FailureDomain;
   /// A leaving proxy owns nothing while another proxy is live and not leaving.
   bool Leaving = false;
+  /// Processor share of its host in thousandths of a core; 0: unknown. Load
+  /// pattern: hosts of unequal size, whose owners run the statements of all
+  /// others. A proxy owns in proportion to the square of its share, so that
+  /// small hosts keep processor time for their own callers.
+  unsigned MilliCores = 0;
 };
 
 namespace detail {
@@ -29,6 +34,8 @@
 struct HashedProxy {
   ProxyId Id;
   std::uint64_t Hash = 0;
+  /// Relative number of keys that it owns.
+  double Weight = 1;
 };
 
 } // namespace detail
--- a/packages/kernel/src/ownership.cpp
+++ b/packages/kernel/src/ownership.cpp
@@ -1,6 +1,7 @@
 #include "kernel/ownership.h"
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <xxhash.h>
 
 namespace eelgrassloom {
@@ -10,17 +11,30 @@
   return XXH3_64bits(Text.data(), Text.size());
 }
 
-static std::uint64_t score(const HashedProxy &P, std::uint64_t KeyHash) {
+/// Assumed processor share of a host that does not report it.
+constexpr double DefaultMilliCores = 250;
+
+static double weightOf(unsigned MilliCores) {
+  double Share = MilliCores == 0 ? DefaultMilliCores : MilliCores;
+  return Share * Share;
+}
+
+/// Weighted rendezvous hashing. For equal weights the order is that of the
+/// hashes.
+static double score(const HashedProxy &P, std::uint64_t KeyHash) {
   std::array<std::uint64_t, 2> Both = {P.Hash, KeyHash};
-  return XXH3_64bits(Both.data(), sizeof(Both));
+  std::uint64_t Hash = XXH3_64bits(Both.data(), sizeof(Both));
+  // A double holds 53 bits; half a step keeps the value between 0 and 1.
+  double Uniform = std::ldexp(static_cast<double>(Hash >> 11) + 0.5, -53);
+  return -P.Weight / std::log(Uniform);
 }
 
 static const HashedProxy *winner(const std::vector<HashedProxy> &Candidates,
                                  std::uint64_t KeyHash) {
   const HashedProxy *Best = nullptr;
-  std::uint64_t BestScore = 0;
+  double BestScore = 0;
   for (const HashedProxy &P : Candidates) {
-    std::uint64_t Score = score(P, KeyHash);
+    double Score = score(P, KeyHash);
     if (Best && (Score < BestScore || (Score == BestScore && Best->Id <= P.Id)))
       continue;
     Best = &P;
@@ -29,18 +43,22 @@
   return Best;
 }
 
-static std::vector<ProxyId> ranked(std::vector<HashedProxy> Candidates,
+static std::vector<ProxyId> ranked(const std::vector<HashedProxy> &Candidates,
                                    std::string_view Key) {
   std::uint64_t KeyHash = hashOf(Key);
-  std::sort(Candidates.begin(), Candidates.end(),
-            [&](const HashedProxy &A, const HashedProxy &B) {
-              return std::pair(score(A, KeyHash), B.Id) >
-                     std::pair(score(B, KeyHash), A.Id);
-            });
+  std::vector<std::pair<double, std::size_t>> Scores;
+  Scores.reserve(Candidates.size());
+  for (std::size_t I = 0; I < Candidates.size(); ++I)
+    Scores.emplace_back(score(Candidates[I], KeyHash), I);
+  std::sort(Scores.begin(), Scores.end(), [&](const auto &A, const auto &B) {
+    if (A.first != B.first)
+      return A.first > B.first;
+    return Candidates[A.second].Id < Candidates[B.second].Id;
+  });
   std::vector<ProxyId> Ids;
   Ids.reserve(Candidates.size());
-  for (const HashedProxy &P : Candidates)
-    Ids.push_back(P.Id);
+  for (const auto &Entry : Scores)
+    Ids.push_back(Candidates[Entry.second].Id);
   return Ids;
 }
 
@@ -53,7 +71,8 @@
   for (const LiveProxy &P : Live) {
     if (P.Leaving && !AllLeaving)
       continue;
-    detail::HashedProxy Hashed{P.Id, detail::hashOf(P.Id)};
+    detail::HashedProxy Hashed{P.Id, detail::hashOf(P.Id),
+                               detail::weightOf(P.MilliCores)};
     T.ByFailureDomain[P.FailureDomain].push_back(Hashed);
     T.All.push_back(Hashed);
   }
--- a/packages/kernel/test/ownership-test.cpp
+++ b/packages/kernel/test/ownership-test.cpp
@@ -46,6 +46,28 @@
   }));
 }
 
+// Guards against small hosts that run the statements of all others. Load
+// pattern: a failure domain of 3 hosts of 0.5 cores and 30 of 0.12.
+TEST_CASE("proxies own in proportion to the square of their processor share") {
+  std::vector<LiveProxy> Live = proxies(33, 1);
+  for (std::size_t I = 0; I < Live.size(); ++I)
+    Live[I].MilliCores = I < 3 ? 500 : 120;
+  OwnerTable T = makeOwnerTable(Live);
+  unsigned OnLarge = 0;
+  constexpr unsigned Keys = 2000;
+  for (unsigned I = 0; I < Keys; ++I) {
+    ProxyId Owner =
+        rankedOwners(T, Live[0].FailureDomain, "s" + std::to_string(I)).front();
+    OnLarge += Owner == Live[0].Id || Owner == Live[1].Id || Owner == Live[2].Id
+                   ? 1
+                   : 0;
+  }
+  // 3 * 0.5^2 of 3 * 0.5^2 + 30 * 0.12^2.
+  double Expected = 0.634;
+  CHECK(OnLarge > 0.93 * Expected * Keys);
+  CHECK(OnLarge < 1.07 * Expected * Keys);
+}
+
 // Guards against one proxy that owns far more than its share.
 TEST_CASE("upstreams are spread evenly over a failure domain") {
   OwnerTable T = makeOwnerTable(proxies(800, 6));
