--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -145,6 +145,8 @@
   /// With one poller a domain, the calls to the store don't grow with the
   /// number of proxies.
   bool isPoller() const;
+  /// True if this proxy is the poller or the poller has answered recently.
+  bool pollerAnswers() const;
   /// True if proxies of other failure domains are registered.
   bool crossDomainPeersKnown() const { return CrossDomainPeersKnown; }
   /// When one of them last answered this proxy or its poller.
@@ -161,8 +163,11 @@
     AnswerCallback = std::move(Handler);
   }
 
-  /// Pings all other registered proxies.
-  void pingAll();
+  /// Pings the registered proxies that have sent nothing since \p Since.
+  void pingSilent(Instant Since);
+  /// Requests the last poll of the poller before the interval has passed, if
+  /// the last request was answered.
+  void askPollerAgain();
   /// Returns an empty string if the proxy is not registered.
   std::string addressOf(const ProxyId &Id) const;
   /// When the last message from the proxy was received; the zero time if none
--- a/packages/control/src/proxies.cpp
+++ b/packages/control/src/proxies.cpp
@@ -33,7 +33,8 @@
       continue;
     Heartbeat &Known = Heartbeats[Item.Key.substr(HeartbeatPrefix.size())];
     if (Known.Revision != Item.Revision)
-      Known = {Item.Revision, now(), Known.Revision != 0};
+      Known = {Item.Revision, madeBy(Revisions, Item.Revision).value_or(now()),
+               Known.Revision != 0};
   }
 }
 
@@ -66,7 +67,8 @@
     if (Record.Id == Self && Record.Evicted)
       NextPoll = now(); // The poll finds the eviction; then it registers.
     if (!Record.Evicted)
-      Registered.push_back({Record.Id, Record.Address, Record.FailureDomain});
+      Registered.push_back(
+          {Record.Id, Record.Address, Record.FailureDomain, Record.MilliCores});
   }
   if (PeerProxies != nullptr)
     PeerProxies->setPeers(std::move(Registered), SentAt);
--- a/packages/kernel/include/kernel/ownership.h
+++ b/packages/kernel/include/kernel/ownership.h
@@ -9,6 +9,7 @@
 #include "kernel/model.h"
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,6 +22,11 @@
   std::string FailureDomain;
   /// A leaving proxy owns nothing while another proxy is live and not leaving.
   bool Leaving = false;
+  /// Processor share of its host in thousandths of a core; 0: unknown. Load
+  /// pattern: hosts of unequal size, whose owners run the statements of all
+  /// others. A proxy owns in proportion to the square of its share, so that
+  /// small hosts keep processor time for their own callers.
+  unsigned MilliCores = 0;
 };
 
 namespace detail {
@@ -28,6 +34,8 @@
 struct HashedProxy {
   ProxyId Id;
   std::uint64_t Hash = 0;
+  /// Relative number of keys that it owns.
+  double Weight = 1;
 };
 
 } // namespace detail
@@ -58,6 +66,9 @@
                                   std::string_view FailureDomain,
                                   std::string_view Key);
 
+/// The first owner of \p Key in each failure domain.
+std::set<ProxyId> ownersOf(const OwnerTable &T, std::string_view Key);
+
 /// Proxies that hold the platform watches: up to \p PerFailureDomain of each
 /// failure domain, sorted by id.
 std::vector<ProxyId> watchHolders(const OwnerTable &T,
