--- a/packages/kernel/src/failover.cpp
+++ b/packages/kernel/src/failover.cpp
@@ -1,17 +1,11 @@
 #include "kernel/failover.h"
+#include "randomtime.h"
 #include <algorithm>
 #include <tuple>
 
 namespace eelgrassloom {
 namespace detail {
 
-static Duration uniform(Duration Below, std::mt19937_64 &Random) {
-  if (Below <= Duration::zero())
-    return Duration::zero();
-  return Duration(std::uniform_int_distribution<Duration::rep>(
-      0, Below.count() - 1)(Random));
-}
-
 static std::uint64_t makeNonce(std::mt19937_64 &Random) {
   return std::uniform_int_distribution<std::uint64_t>(1)(Random);
 }
