--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -99,8 +99,6 @@
   bool LocalOnly = false;
   /// Number of fallback proxies that the statement was sent to.
   unsigned FallbackAttempts = 0;
-  /// Number of owners that did not answer the statement.
-  unsigned SilentOwners = 0;
 
   // State of the attempts.
   /// The proxy that the statement was forwarded to; null if it runs here.
@@ -115,6 +113,8 @@
   unsigned Attempts = 0;
   unsigned Running = 0;
   unsigned Failures = 0;
+  /// Number of owners that did not answer the statement.
+  unsigned SilentOwners = 0;
   /// Start of the last attempt, or time of forwarding.
   Instant SentAt;
   /// No attempt starts before this time.
--- a/packages/kernel/test/resend-test.cpp
+++ b/packages/kernel/test/resend-test.cpp
@@ -53,6 +53,7 @@
       if (Free > Now || Waiting.empty())
         continue;
       std::vector<WaitingStatement> Statements;
+      Statements.reserve(Waiting.size());
       for (const Operation &Op : Waiting)
         Statements.push_back(
             {Priority::Normal,
