Review, case 2: a former primary is promoted again with its old log

Cause: a promotion takes a server of an older term as readily as a replica of the present primary, and excludes a draining replica even if it alone has the present term (rule STALE, and all commits of the last term lost).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# LOST: acknowledged commits are missing after a promotion, with syncReplicas 1.
+# STALE: a former primary is promoted again with the log that it had before.
 # Needs the build of the deploy file and review/build.sh. TROUBLE=0 leaves the
 # disruption out. Exit status: 1 rule broken, 0 rule held, 2 could not run.
 set -u
@@ -9,4 +9,4 @@
   echo "build the deploy file's programs and review/build.sh first"
   exit 2
 fi
-exec target/review/standin draining-replica "$here/record.txt"
+exec target/review/standin promoted-back "$here/record.txt"
--- a/review/other/drain/run.sh
+++ b/review/other/drain/run.sh
@@ -4,7 +4,7 @@
 # disruption out. Exit status: 1 rule broken, 0 rule held, 2 could not run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
-cd "$here/../.."
+cd "$here/../../.."
 if [ ! -x target/platform/eelgrassloom-platform ] || [ ! -x target/review/standin ]; then
   echo "build the deploy file's programs and review/build.sh first"
   exit 2
--- a/review/standin/database.cpp
+++ b/review/standin/database.cpp
@@ -37,7 +37,8 @@
             Self->end();
             return;
           }
-          Self->Input.append(Self->Buffer.data(), Bytes);
+          if (!Self->Parent->Dark)
+            Self->Input.append(Self->Buffer.data(), Bytes);
           Self->next();
           Self->read();
         });
@@ -76,6 +77,8 @@
   }
 
   void send(const std::string &Body) {
+    if (Parent->Dark)
+      return; // The session ends when the server can be reached again.
     auto Out = std::make_shared<std::string>(Body + "READY " + State + " " +
                                              text(Parent->position()) + "\r\n");
     asio::async_write(
@@ -143,6 +146,8 @@
       State = 'I';
       send("DONE -\r\n");
     } else if (Verb == "READ") {
+      if (Parent->Parent.ReadRuns)
+        Parent->Parent.ReadRuns(Parent, Id);
       send("ROW " + std::to_string(Parent->Log.size()) + "\r\nDONE " +
            signature() + "\r\n");
     } else if (Verb == "WRITE") {
@@ -228,6 +233,13 @@
     S->reset();
 }
 
+void Server::returnFromDark() {
+  Dark = false;
+  auto All = Sessions;
+  for (const auto &S : All)
+    S->reset();
+}
+
 bool Server::contains(const Position &P) const {
   if (P.Term > Term)
     return false;
@@ -266,7 +278,7 @@
   for (const ServerRef &S : Servers)
     if (S->Primary && (!Best || S->Term > Best->Term))
       Best = S;
-  return Best && Best->Up ? Best : nullptr;
+  return Best && Best->reachable() ? Best : nullptr;
 }
 
 void Service::commit(const ServerRef &Primary, const std::string &Request,
@@ -283,7 +295,8 @@
   for (const ServerRef &S : Servers)
     if (S != Primary)
       after(Loop, S->LagMs, [this, Primary, Term, S, Size, Missing, Done] {
-        if (!Primary->Up || Primary->Term != Term || !S->Up || S->Primary)
+        if (!Primary->reachable() || Primary->Term != Term || !S->reachable() ||
+            S->Primary)
           return;
         deliver(Primary, Term, S, Size);
         if (*Missing != 0 && --*Missing == 0)
@@ -313,7 +326,7 @@
 
 void Service::promote(const ServerRef &Next) {
   after(Loop, PromoteMs, [this, Next] {
-    if (!Next->Up)
+    if (!Next->reachable())
       return;
     std::uint64_t Term = 0;
     for (const ServerRef &S : Servers)
@@ -335,7 +348,8 @@
       continue;
     bool WasPrimary = S->Primary;
     after(Loop, WasPrimary ? DemotionMs : S->LagMs, [this, Next, S] {
-      if (!S->Up || !Next->Up || !Next->Primary || S->Term >= Next->Term)
+      if (!S->reachable() || !Next->reachable() || !Next->Primary ||
+          S->Term >= Next->Term)
         return;
       S->Primary = false;
       deliver(Next, Next->Term, S, Next->Log.size());
--- a/review/standin/database.h
+++ b/review/standin/database.h
@@ -30,6 +30,12 @@
   void start();
   /// Ends the process: connections are reset and new ones are refused.
   void crash();
+  /// The server goes on, but nothing reaches it and nothing gets out.
+  void goDark() { Dark = true; }
+  /// It can be reached again; connections from before are gone.
+  void returnFromDark();
+  /// True if proxies and other servers reach it.
+  bool reachable() const { return Up && !Dark; }
   Position position() const { return {Term, Log.size()}; }
   /// True if the log contains everything up to the position.
   bool contains(const Position &P) const;
@@ -45,6 +51,7 @@
   const std::string Zone;
   std::uint16_t Port = 0;
   bool Up = false;
+  bool Dark = false;
   bool Primary = false;
   bool Draining = false;
   std::uint64_t Term = 1;
@@ -93,6 +100,8 @@
   /// Called with the server and the request id when a read, a write or a commit
   /// reaches a server.
   std::function<void(const ServerRef &, const std::string &)> Reached;
+  /// Called when a server runs a read.
+  std::function<void(const ServerRef &, const std::string &)> ReadRuns;
 
 private:
   void deliver(const ServerRef &Primary, std::uint64_t Term,
--- a/review/standin/fleet.cpp
+++ b/review/standin/fleet.cpp
@@ -144,11 +144,11 @@
 
 /// A server that is down is removed after three intervals of silence.
 void Fleet::heartbeat(const ServerRef &S) {
-  if (S->Up)
+  if (S->reachable())
     report(S);
   else
     after(Loop, 2 * HeartbeatMs, [this, S] {
-      if (!S->Up)
+      if (!S->reachable())
         Metadata.erase("servers/" + S->Id);
     });
   if (S->Up)
@@ -243,7 +243,7 @@
     if (Each->Name == Body.at("service").get<std::string>())
       Owner = Each;
   ServerRef Next = Owner != nullptr ? Owner->find(P.Server) : nullptr;
-  if (Status == 200 && (!Next || !Next->Up))
+  if (Status == 200 && (!Next || !Next->reachable()))
     Status = 409;
   Out.line("platform: promote %s, holder %s, token %lu: %u", P.Server.c_str(),
            P.Holder.c_str(), P.Token, Status);
--- a/review/standin/main.cpp
+++ b/review/standin/main.cpp
@@ -387,6 +387,126 @@
     R.Failure = "nothing was served";
 }
 
+/// STALE: a former primary that never followed its successor is promoted again
+/// with its old log, although a replica of the successor is up.
+void runPromotedBack(Run &R) {
+  constexpr std::int64_t DarkMs = 5500;
+  FleetOptions Options;
+  Fleet F(R.Loop, R.Out, Options);
+  addServers(F.Database, "i-", 20, 25);
+  ServerRef First = F.Database.find("i-a");
+  ServerRef Second;
+  ServerRef Third = F.Database.find("i-c");
+  struct ReadRun {
+    std::int64_t SentMs = 0;
+    bool Served = false;
+    std::string Server;
+    /// Acknowledged commits that the server lacked, and when they were
+    /// acknowledged.
+    std::map<std::string, std::int64_t> Missing;
+  };
+  std::map<std::string, std::int64_t> AcknowledgedMs;
+  std::map<std::string, ReadRun> Reads;
+  F.Database.ReadRuns = [&](const ServerRef &S, const std::string &Id) {
+    ReadRun Each;
+    Each.Server = S->Id;
+    for (const auto &[Commit, At] : AcknowledgedMs)
+      if (!S->hasCommit(Commit))
+        Each.Missing[Commit] = At;
+    Reads[Id] = Each;
+  };
+  F.start();
+  std::vector<std::shared_ptr<Client>> Clients;
+  for (unsigned I = 0; I < 8; ++I) {
+    auto C =
+        std::make_shared<Client>(F, "c" + std::to_string(I), Fleet::Orders);
+    C->Reconnect = true;
+    C->Answered = [&](const Client::Request &Q, const std::string &Line) {
+      if (Line.compare(0, 4, "DONE") != 0)
+        return;
+      ++R.Served;
+      if (Q.Text.compare(0, 5, "WRITE") == 0) {
+        AcknowledgedMs[Q.Id] = nowMs();
+      } else if (auto It = Reads.find(Q.Id); It != Reads.end()) {
+        It->second.SentMs = Q.SentMs;
+        It->second.Served = true;
+      }
+    };
+    Clients.push_back(C);
+    auto Count = std::make_shared<unsigned>(0);
+    after(R.Loop, WarmUpMs + 10 * I, [C, &F, I, Count] {
+      C->open(I % F.proxyCount(),
+              [Count]() -> std::pair<std::string, std::int64_t> {
+                const char *Verb = ++*Count % 2 == 0 ? "WRITE" : "READ";
+                std::string Item = " item" + std::to_string(*Count % 50);
+                std::string Value = *Count % 2 == 0 ? " v1" : "";
+                return {Verb + Item + Value, 10};
+              });
+    });
+  }
+  std::int64_t Start = WarmUpMs + 2000;
+  // A control: the same disruption, but no replica is to be replaced.
+  if (std::getenv("CONTROL") == nullptr)
+    after(R.Loop, Start, [&] {
+      R.Out.line("replica %s reports that it is draining", Third->Id.c_str());
+      Third->Draining = true;
+      F.report(Third);
+    });
+  after(R.Loop, Start + 2500, [&] {
+    if (R.Served == 0)
+      R.Failure = "nothing was served before the disruption";
+    if (!R.Trouble) {
+      after(R.Loop, DarkMs, [&] { R.finish(); });
+      return;
+    }
+    R.Out.line("primary %s goes dark", First->Id.c_str());
+    First->goDark();
+  });
+  if (!R.Trouble) {
+    R.Loop.run();
+    return;
+  }
+  after(R.Loop, Start + 2500 + DarkMs - 200, [&] {
+    Second = F.Database.leader();
+    if (!Second || Second == First) {
+      R.Failure = "no server was promoted";
+      R.finish();
+      return;
+    }
+    R.Out.line("primary %s goes dark", Second->Id.c_str());
+    Second->goDark();
+  });
+  after(R.Loop, Start + 2500 + DarkMs, [&] {
+    R.Out.line("%s can be reached again, with its log up to %lu.%zu",
+               First->Id.c_str(), First->Term, First->Log.size());
+    First->returnFromDark();
+    F.report(First);
+  });
+  after(R.Loop, Start + 2500 + DarkMs + 6000, [&] { R.finish(); });
+  R.Loop.run();
+  ServerRef Last = F.Database.leader();
+  if (!Last || Last == Second) {
+    if (R.Failure.empty())
+      R.Failure = "no server was promoted the second time";
+    return;
+  }
+  R.Out.line("%s leads term %lu at the end", Last->Id.c_str(), Last->Term);
+  std::size_t Lost = 0;
+  for (const auto &Each : AcknowledgedMs)
+    Lost += Last->hasCommit(Each.first) ? 0 : 1;
+  R.Out.line("%zu of %zu acknowledged commits are not in its log", Lost,
+             AcknowledgedMs.size());
+  for (const auto &[Id, Each] : Reads)
+    for (const auto &[Commit, At] : Each.Missing)
+      if (Each.Served && At < Each.SentMs && Last->hasCommit(Commit)) {
+        R.broken("STALE: " + Id + " ran on " + Each.Server + " without " +
+                 Commit + ", which had been acknowledged " +
+                 std::to_string(Each.SentMs - At) +
+                 " ms before and was never rolled back");
+        break;
+      }
+}
+
 int run(const std::string &Case, Record &Out) {
   const char *Setting = std::getenv("TROUBLE");
   Run R{.Out = Out,
@@ -405,6 +525,8 @@
     runSync(R, true, false);
   else if (Case == "draining-replica")
     runSync(R, false, true);
+  else if (Case == "promoted-back")
+    runPromotedBack(R);
   else if (Case == "poller-lost")
     runPollerLost(R);
   else
