Log what each server offers to a promotion; choice of the candidate on its own

New event 149, promotion-candidate: state, role, term and position of each server and the term of the replaced primary, with each call and with each promotion-waiting after the leases have ended.

Test: 'the log says what each server offered to a promotion'.

--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -324,6 +324,8 @@
   void handlePeerAnswer(const PeerMessage &Answer);
   /// Logs what a promotion that takes long is waiting for.
   void logPromotionWait(KnownGroup &G, const PromotionInput &In);
+  /// Logs for each server of the group whether it can be promoted, and why not.
+  void logCandidates(const PromotionState &S, const PromotionInput &In);
   void logRecordWrite(const PrimaryRecord &Record, PromotionReason Reason,
                       StoreCode Answer);
   void perform(const std::string &Service, const PromotionAction &Action);
--- a/packages/control/src/promotion.cpp
+++ b/packages/control/src/promotion.cpp
@@ -1,6 +1,7 @@
 // Promotions, run by the holder of the promotion lock.
 
 #include "control/coordinator.h"
+#include "kernel/candidate.h"
 #include <algorithm>
 
 namespace eelgrassloom {
@@ -99,8 +100,11 @@
       continue;
     PromotionInput In = inputOf(G, Common);
     bool Waiting = !G.Promotion.LeasesEndedAt;
-    for (const PromotionAction &Action : step(G.Promotion, In, now()))
+    for (const PromotionAction &Action : step(G.Promotion, In, now())) {
+      if (std::holds_alternative<PromoteServer>(Action))
+        logCandidates(G.Promotion, In);
       perform(Service, Action);
+    }
     if (Waiting && G.Promotion.LeasesEndedAt)
       SessionEngine.events().write(
           EngineEvent::LeasesEnded,
@@ -199,6 +203,29 @@
                                 {"permissions_ended", name(S.LeasesEndedBy)},
                                 {"replicas_answering", Answering},
                                 {"servers", In.Servers.size()}});
+  if (S.LeasesEndedAt)
+    logCandidates(S, In);
+}
+
+void Coordinator::logCandidates(const PromotionState &S,
+                                const PromotionInput &In) {
+  for (const ServerEntry &Server : In.Servers) {
+    auto Found = In.Statuses->find(Server.Id);
+    ServerStatus Status;
+    if (Found != In.Statuses->end())
+      Status = Found->second;
+    SessionEngine.events().write(
+        EngineEvent::PromotionCandidate,
+        {{"service", In.Record.Service},
+         {"epoch", In.Record.Epoch},
+         {"server", Server.Id},
+         {"state", name(candidateState(S, In, Server, now()))},
+         {"reachable", Status.Reachable ? 1 : 0},
+         {"role", name(Status.ServerRole)},
+         {"term", Status.Term},
+         {"received", toString(Status.Received)},
+         {"primary_term", In.Record.Term}});
+  }
 }
 
 void Coordinator::perform(const std::string &Service,
--- a/packages/control/test/leasewait-test.cpp
+++ b/packages/control/test/leasewait-test.cpp
@@ -326,6 +326,24 @@
         std::string::npos);
 }
 
+// Guards against a promotion whose choice can't be explained afterwards: why
+// each server was or was not a candidate.
+TEST_CASE("the log says what each server offered to a promotion") {
+  Fleet F(4);
+  F.advance(5s);
+  F.Reachable.erase("b");
+  F.Keys.put("servers/a", "draining");
+  F.advance(4s);
+  REQUIRE_FALSE(F.Promotions.empty());
+  std::string Lines = logLines(F, "promotion-candidate");
+  for (const char *Line :
+       {"\"server\":\"a\",\"state\":\"revoked\"",
+        "\"server\":\"b\",\"state\":\"unanswered\",\"reachable\":0",
+        "\"server\":\"c\",\"state\":\"usable\",\"reachable\":1,\"role\":"
+        "\"replica\",\"term\":1,\"received\":\"1.5\""})
+    CHECK_MESSAGE(Lines.find(Line) != std::string::npos, Line);
+}
+
 // Guards against two primaries in use: under any of these faults, no proxy may
 // use a primary once another server was promoted.
 TEST_CASE("no primary lease outlasts a promotion under random faults") {
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -39,6 +39,7 @@
   LeaseLost,
   LeaseGained,
   PrimaryChanged,
+  PromotionCandidate,
   PromotionLockAcquired,
   PromotionLockLost,
   RevocationStarted,
@@ -69,7 +70,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 41> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 42> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -92,6 +93,7 @@
     {140, "grant-lost", 20},
     {141, "grant-gained", 20},
     {142, "primary-changed", 20},
+    {149, "promotion-candidate", 40},
     {150, "duty-taken", 5},
     {151, "duty-lost", 5},
     {152, "revocation-started", 20},
--- a/packages/kernel/include/kernel/position.h
+++ b/packages/kernel/include/kernel/position.h
@@ -6,6 +6,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <string>
 #include <vector>
 
 namespace eelgrassloom {
@@ -23,6 +24,9 @@
   }
 };
 
+/// TERM.INDEX
+std::string toString(const Position &P);
+
 /// A term and the index of the last entry before its own entries.
 struct TermStart {
   std::uint64_t Term = 0;
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -272,6 +272,11 @@
 PromotionReason promotionReason(const PromotionOptions &Options,
                                 const PromotionInput &In);
 
+/// True if enough proxies, or failure domains, report the primary as
+/// unreachable.
+bool widelyUnreachable(const PromotionOptions &Options,
+                       const PromotionInput &In);
+
 /// True if the proxy has acknowledged the revocation of this or a later epoch.
 bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record);
 
--- /dev/null
+++ b/packages/kernel/src/candidate.cpp
@@ -0,0 +1,88 @@
+#include "kernel/candidate.h"
+#include <algorithm>
+
+namespace eelgrassloom {
+namespace detail {
+
+const ServerEntry *findServer(const PromotionInput &In, const UpstreamId &Id) {
+  for (const ServerEntry &Server : In.Servers)
+    if (Server.Id == Id)
+      return &Server;
+  return nullptr;
+}
+
+const ServerStatus *findStatus(const PromotionInput &In, const UpstreamId &Id) {
+  auto It = In.Statuses->find(Id);
+  return It == In.Statuses->end() ? nullptr : &It->second;
+}
+
+/// True if a status query to each replica, sent after the leases ended, has
+/// been answered or has failed. An unreachable primary is replaced by the
+/// replica that has received most, which is known only then.
+bool replicasQueried(const PromotionState &S, const PromotionInput &In) {
+  return std::all_of(
+      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
+        const ServerStatus *Status = findStatus(In, Server.Id);
+        return Server.Id == In.Record.Primary ||
+               (Status != nullptr && Status->SentAt > *S.LeasesEndedAt);
+      });
+}
+
+} // namespace detail
+
+CandidateState candidateState(const PromotionState &S, const PromotionInput &In,
+                              const ServerEntry &Server, Instant Now) {
+  if (Server.Id == In.Record.Primary)
+    return CandidateState::Revoked;
+  if (Server.Draining)
+    return CandidateState::Draining;
+  auto Refused = S.RefusedAt.find(Server.Id);
+  if (Refused != S.RefusedAt.end() &&
+      Now - Refused->second < S.Options.RefusalBackoff)
+    return CandidateState::Refused;
+  const ServerStatus *Status = detail::findStatus(In, Server.Id);
+  if (Status == nullptr || !Status->Reachable ||
+      Status->SentAt <= *S.LeasesEndedAt)
+    return CandidateState::Unanswered;
+  return CandidateState::Usable;
+}
+
+const ServerEntry *bestCandidate(const PromotionState &S,
+                                 const PromotionInput &In, Instant Now) {
+  const ServerEntry *Best = nullptr;
+  for (const ServerEntry &Server : In.Servers) {
+    if (candidateState(S, In, Server, Now) != CandidateState::Usable)
+      continue;
+    if (Best == nullptr || detail::findStatus(In, Server.Id)->Received >
+                               detail::findStatus(In, Best->Id)->Received)
+      Best = &Server;
+  }
+  return Best;
+}
+
+bool replicasAnswered(const PromotionState &S, const PromotionInput &In) {
+  return std::all_of(
+      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
+        const ServerStatus *Status = detail::findStatus(In, Server.Id);
+        return Server.Id == In.Record.Primary ||
+               (Status != nullptr && Status->Reachable &&
+                Status->SentAt > *S.LeasesEndedAt);
+      });
+}
+
+bool mustCatchUp(const PromotionState &S, const PromotionInput &In,
+                 const ServerEntry &Candidate, Instant Now) {
+  if (Now - *S.LeasesEndedAt >= S.Options.CatchUpTime)
+    return false;
+  const ServerStatus *Old = detail::findStatus(In, In.Record.Primary);
+  bool RepliesPending = Now - *S.LeasesEndedAt < 2 * S.Options.StatusInterval;
+  if (Old == nullptr && widelyUnreachable(S.Options, In))
+    return RepliesPending && !detail::replicasQueried(S, In);
+  if (Old == nullptr || (Old->Reachable && Old->SentAt <= *S.LeasesEndedAt))
+    return detail::findServer(In, In.Record.Primary) != nullptr &&
+           RepliesPending;
+  return Old->Reachable &&
+         detail::findStatus(In, Candidate.Id)->Received < Old->Received;
+}
+
+} // namespace eelgrassloom
--- a/packages/kernel/src/position.cpp
+++ b/packages/kernel/src/position.cpp
@@ -3,6 +3,10 @@
 
 namespace eelgrassloom {
 
+std::string toString(const Position &P) {
+  return std::to_string(P.Term) + "." + std::to_string(P.Index);
+}
+
 Lineage lineage(const TermHistory &History, Position P) {
   if (P.Index == 0)
     return Lineage::InHistory;
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -1,22 +1,11 @@
 #include "kernel/promotion.h"
+#include "kernel/candidate.h"
 #include <algorithm>
 #include <cmath>
 
 namespace eelgrassloom {
 namespace detail {
 
-const ServerEntry *findServer(const PromotionInput &In, const UpstreamId &Id) {
-  for (const ServerEntry &Server : In.Servers)
-    if (Server.Id == Id)
-      return &Server;
-  return nullptr;
-}
-
-const ServerStatus *findStatus(const PromotionInput &In, const UpstreamId &Id) {
-  auto It = In.Statuses->find(Id);
-  return It == In.Statuses->end() ? nullptr : &It->second;
-}
-
 bool hasSuccessor(const PromotionInput &In) {
   return std::any_of(
       In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
@@ -37,32 +26,6 @@
          Proxy.Unreachable.count(In.Record.Primary) != 0;
 }
 
-/// True if enough proxies, or failure domains, report the primary as
-/// unreachable.
-bool widelyUnreachable(const PromotionOptions &Options,
-                       const PromotionInput &In) {
-  std::size_t Observers = 0;
-  std::size_t Reports = 0;
-  std::set<std::string_view> Domains;
-  std::set<std::string_view> ReportingDomains;
-  for (const ProxyReport &Proxy : *In.Proxies) {
-    if (Proxy.Evicted)
-      continue;
-    bool Report = reportsPrimary(In, Proxy);
-    ++Observers;
-    Reports += Report ? 1 : 0;
-    Domains.insert(Proxy.FailureDomain);
-    if (Report)
-      ReportingDomains.insert(Proxy.FailureDomain);
-  }
-  if (In.UsesOwners) {
-    Observers = Domains.size();
-    Reports = ReportingDomains.size();
-  }
-  double Share = static_cast<double>(Observers) * Options.UnreachableShare;
-  return static_cast<double>(Reports) >= std::max(1.0, std::ceil(Share));
-}
-
 /// Time for which a reason must persist before the primary is replaced.
 Duration toleranceFor(const PromotionOptions &Options, PromotionReason Reason) {
   switch (Reason) {
@@ -173,73 +136,6 @@
   return !widelyUnreachable(S.Options, In);
 }
 
-bool candidateUsable(const PromotionState &S, const PromotionInput &In,
-                     const ServerEntry &Server, Instant Now) {
-  if (Server.Id == In.Record.Primary || Server.Draining)
-    return false;
-  auto Refused = S.RefusedAt.find(Server.Id);
-  if (Refused != S.RefusedAt.end() &&
-      Now - Refused->second < S.Options.RefusalBackoff)
-    return false;
-  const ServerStatus *Status = findStatus(In, Server.Id);
-  return Status != nullptr && Status->Reachable &&
-         Status->SentAt > *S.LeasesEndedAt;
-}
-
-const ServerEntry *bestCandidate(const PromotionState &S,
-                                 const PromotionInput &In, Instant Now) {
-  const ServerEntry *Best = nullptr;
-  for (const ServerEntry &Server : In.Servers) {
-    if (!candidateUsable(S, In, Server, Now))
-      continue;
-    if (Best == nullptr || findStatus(In, Server.Id)->Received >
-                               findStatus(In, Best->Id)->Received)
-      Best = &Server;
-  }
-  return Best;
-}
-
-/// True if all replicas have answered since the leases ended. With synchronous
-/// replication an acknowledged commit may be on one replica only, so the best
-/// candidate is known only when all of them have answered.
-bool replicasAnswered(const PromotionState &S, const PromotionInput &In) {
-  return std::all_of(In.Servers.begin(), In.Servers.end(),
-                     [&](const ServerEntry &Server) {
-                       const ServerStatus *Status = findStatus(In, Server.Id);
-                       return Server.Id == In.Record.Primary ||
-                              (Status != nullptr && Status->Reachable &&
-                               Status->SentAt > *S.LeasesEndedAt);
-                     });
-}
-
-/// True if a status query to each replica, sent after the leases ended, has
-/// been answered or has failed. An unreachable primary is replaced by the
-/// replica that has received most, which is known only then.
-bool replicasQueried(const PromotionState &S, const PromotionInput &In) {
-  return std::all_of(
-      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
-        const ServerStatus *Status = findStatus(In, Server.Id);
-        return Server.Id == In.Record.Primary ||
-               (Status != nullptr && Status->SentAt > *S.LeasesEndedAt);
-      });
-}
-
-/// True while the promotion should wait: the candidate may still receive the
-/// last commits of the old primary, or replies that decide this are pending.
-bool mustCatchUp(const PromotionState &S, const PromotionInput &In,
-                 const ServerEntry &Candidate, Instant Now) {
-  if (Now - *S.LeasesEndedAt >= S.Options.CatchUpTime)
-    return false;
-  const ServerStatus *Old = findStatus(In, In.Record.Primary);
-  bool RepliesPending = Now - *S.LeasesEndedAt < 2 * S.Options.StatusInterval;
-  if (Old == nullptr && widelyUnreachable(S.Options, In))
-    return RepliesPending && !replicasQueried(S, In);
-  if (Old == nullptr || (Old->Reachable && Old->SentAt <= *S.LeasesEndedAt))
-    return findServer(In, In.Record.Primary) != nullptr && RepliesPending;
-  return Old->Reachable &&
-         findStatus(In, Candidate.Id)->Received < Old->Received;
-}
-
 /// Waits for the end of all leases, and evicts proxies that have not
 /// acknowledged within the lease duration.
 std::vector<PromotionAction>
@@ -309,7 +205,7 @@
   const ServerEntry *Primary = detail::findServer(In, In.Record.Primary);
   if (Primary != nullptr && Primary->Draining)
     return PromotionReason::Leaving;
-  if (detail::widelyUnreachable(Options, In))
+  if (widelyUnreachable(Options, In))
     return PromotionReason::Unreachable;
   if (Primary == nullptr)
     return PromotionReason::Missing;
@@ -318,6 +214,30 @@
   return PromotionReason::None;
 }
 
+bool widelyUnreachable(const PromotionOptions &Options,
+                       const PromotionInput &In) {
+  std::size_t Observers = 0;
+  std::size_t Reports = 0;
+  std::set<std::string_view> Domains;
+  std::set<std::string_view> ReportingDomains;
+  for (const ProxyReport &Proxy : *In.Proxies) {
+    if (Proxy.Evicted)
+      continue;
+    bool Report = detail::reportsPrimary(In, Proxy);
+    ++Observers;
+    Reports += Report ? 1 : 0;
+    Domains.insert(Proxy.FailureDomain);
+    if (Report)
+      ReportingDomains.insert(Proxy.FailureDomain);
+  }
+  if (In.UsesOwners) {
+    Observers = Domains.size();
+    Reports = ReportingDomains.size();
+  }
+  double Share = static_cast<double>(Observers) * Options.UnreachableShare;
+  return static_cast<double>(Reports) >= std::max(1.0, std::ceil(Share));
+}
+
 bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record) {
   auto It = Proxy.Acknowledged.find(Record.Service);
   return It != Proxy.Acknowledged.end() && It->second >= Record.Epoch;
