--- a/packages/control/src/promotion.cpp
+++ b/packages/control/src/promotion.cpp
@@ -223,7 +223,7 @@
          {"reachable", Status.Reachable ? 1 : 0},
          {"role", name(Status.ServerRole)},
          {"term", Status.Term},
-         {"received", toString(Status.Received)},
+         {"received", formatPosition(Status.Received)},
          {"primary_term", In.Record.Term}});
   }
 }
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -281,12 +281,7 @@
     Time.after(AnswerTime, [Done] { Done(PromotionOutcome::Accepted); });
   };
   Prober Probe = [this](const ServerEntry &E, auto Done) {
-    ServerStatus Status{Reachable.count(E.Id) != 0,
-                        E.Id == Primary ? Role::Primary : Role::Replica,
-                        E.Id == Primary ? 1 + Promotions.size() : 1,
-                        {1, 5},
-                        Time.Now};
-    Time.after(AnswerTime, [Done, Status] { Done(Status); });
+    Time.after(AnswerTime, [Done, Status = status(E.Id)] { Done(Status); });
   };
   CoordinatorOptions Options = coordinatorOptions(3s);
   P->Control = Coordinator::create(Id, std::hash<std::string>()(Id) | 1,
@@ -316,6 +311,19 @@
   Members.push_back(std::move(P));
 }
 
+ServerStatus Fleet::status(const UpstreamId &Id) const {
+  ServerStatus Status;
+  Status.Reachable = Reachable.count(Id) != 0;
+  auto Former = FormerPrimaries.find(Id);
+  bool Leads = Id == Primary || Former != FormerPrimaries.end();
+  Status.ServerRole = Leads ? Role::Primary : Role::Replica;
+  Status.Term =
+      Former != FormerPrimaries.end() ? Former->second : 1 + Promotions.size();
+  Status.Received = {1, 5};
+  Status.SentAt = Time.Now;
+  return Status;
+}
+
 bool Fleet::connected(const FakeProxy &From, const std::string &To) {
   FakeProxy *Other = find(To);
   if (Other == nullptr || WithoutDatagrams.count(From.Id) != 0 ||
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -146,6 +146,11 @@
   /// the primary.
   std::set<UpstreamId> Reachable = {"a", "b", "c"};
   UpstreamId Primary = "a";
+  /// Servers that lead an older term because they have not followed their
+  /// successor, with that term. All others follow the primary.
+  std::map<UpstreamId, std::uint64_t> FormerPrimaries;
+  /// What a server answers to a status query.
+  ServerStatus status(const UpstreamId &Id) const;
   std::vector<std::pair<UpstreamId, std::uint64_t>> Promotions;
   std::vector<std::unique_ptr<FakeProxy>> Members;
   /// Proxies that neither send nor receive datagrams.
--- a/packages/kernel/include/kernel/candidate.h
+++ b/packages/kernel/include/kernel/candidate.h
@@ -19,9 +19,13 @@
   Refused,
   /// It has not answered a status query that was sent after the leases ended.
   Unanswered,
+  /// Its log ends before the term of the revoked primary: it has none of the
+  /// commits of that term, and may have others that were acknowledged in its
+  /// own term and that no read of the later term has seen.
+  OlderTerm,
 };
-inline constexpr std::array<std::string_view, 5> CandidateStateNames = {
-    "usable", "revoked", "draining", "refused", "unanswered"};
+inline constexpr std::array<std::string_view, 6> CandidateStateNames = {
+    "usable", "revoked", "draining", "refused", "unanswered", "older-term"};
 constexpr std::string_view name(CandidateState S) {
   return CandidateStateNames[static_cast<std::size_t>(S)];
 }
@@ -30,7 +34,7 @@
 CandidateState candidateState(const PromotionState &S, const PromotionInput &In,
                               const ServerEntry &Server, Instant Now);
 
-/// The usable server with the longest log; null if no server is usable.
+/// The usable server with the newest log; null if no server is usable.
 const ServerEntry *bestCandidate(const PromotionState &S,
                                  const PromotionInput &In, Instant Now);
 
--- a/packages/kernel/include/kernel/position.h
+++ b/packages/kernel/include/kernel/position.h
@@ -25,7 +25,7 @@
 };
 
 /// TERM.INDEX
-std::string toString(const Position &P);
+std::string formatPosition(const Position &P);
 
 /// A term and the index of the last entry before its own entries.
 struct TermStart {
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -115,6 +115,10 @@
   /// Maximum time that a promotion waits, after all leases have ended, for a
   /// replica to catch up with an old primary that still answers.
   Duration CatchUpTime = std::chrono::milliseconds(1500);
+  /// Time after the end of the leases in which no server is promoted that has
+  /// an older term than the revoked primary. It is longer than the failures
+  /// that a server survives, so that one with the last term can return.
+  Duration OlderTermDelay = std::chrono::seconds(20);
   /// Time that a new lock holder waits before it promotes a server if an
   /// earlier holder may have called a promotion; after it such a call can no
   /// longer be in flight.
--- a/packages/kernel/src/candidate.cpp
+++ b/packages/kernel/src/candidate.cpp
@@ -16,6 +16,23 @@
   return It == In.Statuses->end() ? nullptr : &It->second;
 }
 
+/// True if the server has followed the revoked primary, or one after it. The
+/// term of its last entry does not show this, because the primary may not have
+/// written any.
+bool hasLastTerm(const PromotionInput &In, const ServerStatus &Status) {
+  return Status.Term >= In.Record.Term;
+}
+
+/// Compares the logs of two servers that have answered.
+bool hasNewerLog(const PromotionInput &In, const ServerEntry &A,
+                 const ServerEntry &B) {
+  const ServerStatus &StatusA = *findStatus(In, A.Id);
+  const ServerStatus &StatusB = *findStatus(In, B.Id);
+  bool LastA = hasLastTerm(In, StatusA);
+  bool LastB = hasLastTerm(In, StatusB);
+  return LastA == LastB ? StatusA.Received > StatusB.Received : LastA;
+}
+
 /// True if a status query to each replica, sent after the leases ended, has
 /// been answered or has failed. An unreachable primary is replaced by the
 /// replica that has received most, which is known only then.
@@ -44,6 +61,9 @@
   if (Status == nullptr || !Status->Reachable ||
       Status->SentAt <= *S.LeasesEndedAt)
     return CandidateState::Unanswered;
+  if (!detail::hasLastTerm(In, *Status) &&
+      Now - *S.LeasesEndedAt < S.Options.OlderTermDelay)
+    return CandidateState::OlderTerm;
   return CandidateState::Usable;
 }
 
@@ -53,8 +73,7 @@
   for (const ServerEntry &Server : In.Servers) {
     if (candidateState(S, In, Server, Now) != CandidateState::Usable)
       continue;
-    if (Best == nullptr || detail::findStatus(In, Server.Id)->Received >
-                               detail::findStatus(In, Best->Id)->Received)
+    if (Best == nullptr || detail::hasNewerLog(In, Server, *Best))
       Best = &Server;
   }
   return Best;
--- a/packages/kernel/src/position.cpp
+++ b/packages/kernel/src/position.cpp
@@ -3,7 +3,7 @@
 
 namespace eelgrassloom {
 
-std::string toString(const Position &P) {
+std::string formatPosition(const Position &P) {
   return std::to_string(P.Term) + "." + std::to_string(P.Index);
 }
 
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -334,6 +334,7 @@
   X.acknowledge(7);
   X.Statuses["a"] = {}; // Does not answer.
   X.tick();
+  X.tick(X.S.Options.OlderTermDelay);
   X.status("b", Role::Primary, 9, 1);
   REQUIRE(X.promoted(X.tick()) == "b");
   X.status("b", Role::Primary, 9, 1);
@@ -548,6 +549,75 @@
   CHECK(X.In.Record.Term == 2);
 }
 
+namespace {
+
+/// The primary "b" of term 2 is lost. "a", its predecessor, can be reached
+/// again, but has not followed it: its log ends in term 1.
+struct FormerPrimaryFixture : PromotionFixture {
+  FormerPrimaryFixture() {
+    In.Record = {"s", 3, GroupStage::Stable, "b", 2};
+    for (auto &P : Proxies)
+      P.Unreachable.insert("b");
+    tick();
+    REQUIRE(stored(tick(400ms)));
+    acknowledge(7);
+    Statuses["b"] = {}; // Does not answer.
+    tick();
+    tick();
+    REQUIRE(S.LeasesEndedAt);
+  }
+
+  /// Ticks for \p Time with answers of "a"; the first server promoted.
+  UpstreamId promotedWithin(Duration Time) {
+    UpstreamId First;
+    for (Instant End = Now + Time; Now < End && First.empty();) {
+      status("a", Role::Primary, 90, 1);
+      First = promoted(tick());
+    }
+    return First;
+  }
+};
+
+} // namespace
+
+// Guards against the loss of all commits of a term, and against stale reads: a
+// former primary that had not followed its successor was promoted again with
+// its old log when the successor was lost (review case 2).
+TEST_CASE("a former primary that has not followed its successor must wait") {
+  FormerPrimaryFixture X;
+  CHECK(X.promotedWithin(10s).empty());
+  // Once it follows, it is as good as any replica.
+  X.status("a", Role::Replica, 5, 2);
+  CHECK(X.promoted(X.tick()) == "a");
+}
+
+TEST_CASE("a replica of the lost primary goes before its predecessor") {
+  FormerPrimaryFixture X;
+  X.status("a", Role::Primary, 90, 1);
+  X.status("c", Role::Replica, 20, 2);
+  CHECK(X.promoted(X.tick()) == "c");
+}
+
+TEST_CASE("a lost primary that answers again keeps its commits") {
+  FormerPrimaryFixture X;
+  REQUIRE(X.promotedWithin(5s).empty());
+  for (auto &P : X.Proxies)
+    P.Unreachable.clear();
+  X.status("b", Role::Primary, 20, 2);
+  REQUIRE(X.stored(X.tick()));
+  CHECK(X.In.Record.Stage == GroupStage::Stable);
+  CHECK(X.In.Record.Primary == "b");
+  CHECK(X.In.Record.Term == 2);
+}
+
+// Guards against a group that stays without a primary because the servers that
+// have its last term are lost for good.
+TEST_CASE("a server with an older log is promoted when nothing else is left") {
+  FormerPrimaryFixture X;
+  CHECK(X.promotedWithin(X.S.Options.OlderTermDelay + 1s) == "a");
+  CHECK(X.Now - *X.S.LeasesEndedAt >= X.S.Options.OlderTermDelay);
+}
+
 // Guards against publishing a server that was replaced itself: another server
 // has a higher term.
 TEST_CASE("a server that leads an older term is not published") {
