--- a/packages/kernel/include/kernel/candidate.h
+++ b/packages/kernel/include/kernel/candidate.h
@@ -13,7 +13,8 @@
   Usable,
   /// It is the revoked primary.
   Revoked,
-  /// It is about to stop.
+  /// It is about to stop, and the revoked primary still answers, so that a
+  /// server that stays can receive all commits.
   Draining,
   /// The platform refused its promotion a moment ago.
   Refused,
@@ -34,7 +35,8 @@
 CandidateState candidateState(const PromotionState &S, const PromotionInput &In,
                               const ServerEntry &Server, Instant Now);
 
-/// The usable server with the newest log; null if no server is usable.
+/// The usable server with the newest log, of equal ones one that is not about
+/// to stop; null if no server is usable.
 const ServerEntry *bestCandidate(const PromotionState &S,
                                  const PromotionInput &In, Instant Now);
 
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -276,10 +276,10 @@
 PromotionReason promotionReason(const PromotionOptions &Options,
                                 const PromotionInput &In);
 
-/// True if enough proxies, or failure domains, report the primary as
+/// True if enough proxies, or failure domains, report the server as
 /// unreachable.
 bool widelyUnreachable(const PromotionOptions &Options,
-                       const PromotionInput &In);
+                       const PromotionInput &In, const UpstreamId &Server);
 
 /// True if the proxy has acknowledged the revocation of this or a later epoch.
 bool acknowledged(const ProxyReport &Proxy, const PrimaryRecord &Record);
--- a/packages/kernel/src/candidate.cpp
+++ b/packages/kernel/src/candidate.cpp
@@ -33,6 +33,20 @@
   return LastA == LastB ? StatusA.Received > StatusB.Received : LastA;
 }
 
+/// True if the revoked primary has answered since the leases ended.
+bool revokedAnswers(const PromotionState &S, const PromotionInput &In) {
+  const ServerStatus *Old = findStatus(In, In.Record.Primary);
+  return Old != nullptr && Old->Reachable && Old->SentAt > *S.LeasesEndedAt;
+}
+
+/// True if A should be promoted rather than B; both are usable.
+bool isBetter(const PromotionInput &In, const ServerEntry &A,
+              const ServerEntry &B) {
+  if (hasNewerLog(In, A, B))
+    return true;
+  return B.Draining && !A.Draining && !hasNewerLog(In, B, A);
+}
+
 /// True if a status query to each replica, sent after the leases ended, has
 /// been answered or has failed. An unreachable primary is replaced by the
 /// replica that has received most, which is known only then.
@@ -51,7 +65,7 @@
                               const ServerEntry &Server, Instant Now) {
   if (Server.Id == In.Record.Primary)
     return CandidateState::Revoked;
-  if (Server.Draining)
+  if (Server.Draining && detail::revokedAnswers(S, In))
     return CandidateState::Draining;
   auto Refused = S.RefusedAt.find(Server.Id);
   if (Refused != S.RefusedAt.end() &&
@@ -73,7 +87,7 @@
   for (const ServerEntry &Server : In.Servers) {
     if (candidateState(S, In, Server, Now) != CandidateState::Usable)
       continue;
-    if (Best == nullptr || detail::hasNewerLog(In, Server, *Best))
+    if (Best == nullptr || detail::isBetter(In, Server, *Best))
       Best = &Server;
   }
   return Best;
@@ -95,7 +109,7 @@
     return false;
   const ServerStatus *Old = detail::findStatus(In, In.Record.Primary);
   bool RepliesPending = Now - *S.LeasesEndedAt < 2 * S.Options.StatusInterval;
-  if (Old == nullptr && widelyUnreachable(S.Options, In))
+  if (Old == nullptr && widelyUnreachable(S.Options, In, In.Record.Primary))
     return RepliesPending && !detail::replicasQueried(S, In);
   if (Old == nullptr || (Old->Reachable && Old->SentAt <= *S.LeasesEndedAt))
     return detail::findServer(In, In.Record.Primary) != nullptr &&
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -6,13 +6,6 @@
 namespace eelgrassloom {
 namespace detail {
 
-bool hasSuccessor(const PromotionInput &In) {
-  return std::any_of(
-      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
-        return Server.Id != In.Record.Primary && !Server.Draining;
-      });
-}
-
 /// A proxy that can't reach most servers is probably partitioned itself, so its
 /// reports say nothing about a single server.
 bool likelyPartitioned(const PromotionInput &In, const ProxyReport &Proxy) {
@@ -20,10 +13,26 @@
          2 * Proxy.Unreachable.size() > In.TotalServers;
 }
 
-/// True if the proxy credibly reports the primary as unreachable.
-bool reportsPrimary(const PromotionInput &In, const ProxyReport &Proxy) {
+/// True if the proxy credibly reports the server as unreachable.
+bool reportsUnreachable(const PromotionInput &In, const ProxyReport &Proxy,
+                        const UpstreamId &Server) {
   return !Proxy.Evicted && !likelyPartitioned(In, Proxy) &&
-         Proxy.Unreachable.count(In.Record.Primary) != 0;
+         Proxy.Unreachable.count(Server) != 0;
+}
+
+/// True if another server may take over. A primary that is about to stop and
+/// still works is replaced only by a server that stays and can be reached.
+bool hasSuccessor(const PromotionOptions &Options, const PromotionInput &In,
+                  PromotionReason Reason) {
+  bool Works = Reason == PromotionReason::Leaving &&
+               !widelyUnreachable(Options, In, In.Record.Primary);
+  return std::any_of(
+      In.Servers.begin(), In.Servers.end(), [&](const ServerEntry &Server) {
+        if (Server.Id == In.Record.Primary)
+          return false;
+        return !Works ||
+               (!Server.Draining && !widelyUnreachable(Options, In, Server.Id));
+      });
 }
 
 /// Time for which a reason must persist before the primary is replaced.
@@ -79,7 +88,7 @@
     return {};
   if (Reason == PromotionReason::None ||
       Now - S.ReasonSince < toleranceFor(S.Options, Reason) ||
-      !hasSuccessor(In))
+      !hasSuccessor(S.Options, In, Reason))
     return {};
   if (Reason == PromotionReason::Unreachable && inMinority(In) &&
       Now - S.ReasonSince < S.Options.MinorityTolerance)
@@ -133,7 +142,7 @@
   const ServerEntry *Primary = findServer(In, In.Record.Primary);
   if (Primary == nullptr || Primary->Draining || !primaryAnswers(S, In))
     return false;
-  return !widelyUnreachable(S.Options, In);
+  return !widelyUnreachable(S.Options, In, In.Record.Primary);
 }
 
 /// Waits for the end of all leases, and evicts proxies that have not
@@ -205,7 +214,7 @@
   const ServerEntry *Primary = detail::findServer(In, In.Record.Primary);
   if (Primary != nullptr && Primary->Draining)
     return PromotionReason::Leaving;
-  if (widelyUnreachable(Options, In))
+  if (widelyUnreachable(Options, In, In.Record.Primary))
     return PromotionReason::Unreachable;
   if (Primary == nullptr)
     return PromotionReason::Missing;
@@ -215,7 +224,7 @@
 }
 
 bool widelyUnreachable(const PromotionOptions &Options,
-                       const PromotionInput &In) {
+                       const PromotionInput &In, const UpstreamId &Server) {
   std::size_t Observers = 0;
   std::size_t Reports = 0;
   std::set<std::string_view> Domains;
@@ -223,7 +232,7 @@
   for (const ProxyReport &Proxy : *In.Proxies) {
     if (Proxy.Evicted)
       continue;
-    bool Report = detail::reportsPrimary(In, Proxy);
+    bool Report = detail::reportsUnreachable(In, Proxy, Server);
     ++Observers;
     Reports += Report ? 1 : 0;
     Domains.insert(Proxy.FailureDomain);
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -618,6 +618,99 @@
   CHECK(X.Now - *X.S.LeasesEndedAt >= X.S.Options.OlderTermDelay);
 }
 
+// Guards against the loss of commits that only a replica has which is about to
+// stop: it was never a candidate (review case 2,
+// review/other/draining-replica).
+TEST_CASE("a draining replica is promoted if it alone has the last commits") {
+  PromotionFixture X;
+  X.In.Servers[1].Draining = true;
+  X.revoke();
+  X.acknowledge(7);
+  X.Statuses["a"] = {}; // Does not answer.
+  X.tick();
+  X.tick();
+  X.status("b", Role::Replica, 9);
+  X.status("c", Role::Replica, 8);
+  CHECK(X.promoted(X.tick()) == "b");
+}
+
+TEST_CASE("a replica that stays goes before a draining one with the same log") {
+  for (int Draining : {1, 2}) {
+    PromotionFixture X;
+    X.In.Servers[Draining].Draining = true;
+    X.revoke();
+    X.acknowledge(7);
+    X.Statuses["a"] = {}; // Does not answer.
+    X.tick();
+    X.tick();
+    X.status("b", Role::Replica, 9);
+    X.status("c", Role::Replica, 9);
+    CHECK(X.promoted(X.tick()) == (Draining == 1 ? "c" : "b"));
+  }
+}
+
+// Guards against a second promotion right after the first: a replica that stays
+// receives the last commits from a primary that still answers.
+TEST_CASE("while the old primary answers, a draining replica is no candidate") {
+  PromotionFixture X;
+  X.In.Servers[0].Draining = true;
+  X.In.Servers[1].Draining = true;
+  REQUIRE(X.stored(X.tick(500ms)));
+  X.acknowledge(7);
+  X.tick();
+  X.tick();
+  X.status("a", Role::Primary, 9);
+  X.status("b", Role::Replica, 9);
+  X.status("c", Role::Replica, 8);
+  CHECK(X.promoted(X.tick()).empty());
+  X.status("a", Role::Primary, 9);
+  X.status("b", Role::Replica, 9);
+  X.status("c", Role::Replica, 9);
+  CHECK(X.promoted(X.tick()) == "c");
+}
+
+// Guards against a group without a primary while its only other server, which
+// is about to stop, has all commits.
+TEST_CASE("a lost primary is replaced by a draining server if there is no "
+          "other") {
+  PromotionFixture X;
+  X.In.Servers[1].Draining = true;
+  X.In.Servers.pop_back();
+  X.revoke();
+  X.acknowledge(7);
+  X.Statuses["a"] = {}; // Does not answer.
+  X.tick();
+  X.tick();
+  X.status("b", Role::Replica, 9);
+  CHECK(X.promoted(X.tick()) == "b");
+}
+
+TEST_CASE("a leaving primary is not replaced by another leaving server") {
+  PromotionFixture X;
+  for (ServerEntry &Server : X.In.Servers)
+    Server.Draining = true;
+  X.tick();
+  CHECK_FALSE(X.stored(X.tick(500ms)));
+  // Unless it is lost.
+  X.report(7);
+  X.tick();
+  CHECK(X.stored(X.tick(500ms)));
+}
+
+// Guards against a primary that works and is taken away although nobody can
+// take over, such as a draining replica that was promoted.
+TEST_CASE("a leaving primary goes on while its successors are unreachable") {
+  PromotionFixture X;
+  X.In.Servers[0].Draining = true;
+  for (auto &P : X.Proxies)
+    P.Unreachable = {"b", "c"};
+  X.tick();
+  CHECK_FALSE(X.stored(X.tick(500ms)));
+  for (auto &P : X.Proxies)
+    P.Unreachable = {"b"};
+  CHECK(X.stored(X.tick()));
+}
+
 // Guards against publishing a server that was replaced itself: another server
 // has a higher term.
 TEST_CASE("a server that leads an older term is not published") {
