--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -7,6 +7,7 @@
 
 #include "engine/forward.h"
 #include "engine/session.h"
+#include "kernel/shutdown.h"
 
 namespace eelgrassloom {
 
@@ -52,9 +53,10 @@
   /// True if statements can be served: the configuration and at least one
   /// server are known.
   bool ready() const;
-  /// Rolls back open transactions because the process stops; \p Reason is
-  /// logged.
-  void endTransactions(std::string_view Reason);
+  /// Applies a phase of an orderly stop to the sessions; called in each tick
+  /// after the request to stop.
+  void applyStop(StopPhase Phase);
+  StopPhase stopPhase() const { return Stop; }
 
   const RuntimeHooks &runtime() const { return Hooks; }
   EventWriter &events() { return Events; }
@@ -89,6 +91,7 @@
   std::map<SessionId, std::shared_ptr<Session>> Sessions;
   SessionId NextSession = 1;
   Instant NextMaintenance;
+  StopPhase Stop = StopPhase::Serving;
 };
 
 } // namespace eelgrassloom
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -21,6 +21,7 @@
   Stopping,
   Stopped,
   Reloaded,
+  StopPhaseEntered,
   ConfigurationApplied,
   ConfigurationRead,
   ConfigurationAdvertised,
@@ -70,11 +71,12 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 42> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 43> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
     {103, "reloaded", 10},
+    {104, "stop-phase", 10},
     {110, "configuration-applied", 20},
     {111, "configuration-read", 20},
     {112, "configuration-heard", 20},
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -15,6 +15,7 @@
 #include "engine/group.h"
 #include "kernel/ownership.h"
 #include "kernel/result.h"
+#include "kernel/shutdown.h"
 #include <variant>
 
 namespace eelgrassloom {
@@ -235,6 +236,9 @@
   /// Tells the connected proxies, and those that connect later, to send no more
   /// statements, because this proxy stops.
   void leave();
+  /// Applies a phase of an orderly stop to the statements and transactions that
+  /// this proxy runs for others; called in each tick after leave().
+  void applyStop(StopPhase Phase);
   /// True if statements or transactions of other proxies are in progress here.
   bool servesPeers() const;
   /// True if no statement of this proxy is in progress at another one.
@@ -303,6 +307,11 @@
   void rollBackForwarded(const PeerClientRef &Client,
                          std::uint64_t Transaction);
   void dropClient(const PeerClientRef &Client);
+  /// Rolls back the transactions of a proxy that have no statement in progress.
+  void endTransactions(const PeerClientRef &Client);
+  /// Returns the statements that were not sent to a server yet, so that other
+  /// proxies run them.
+  void returnUnsent(const PeerClientRef &Client);
 
   const ProxyId Self;
   const std::string FailureDomain;
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -14,6 +14,11 @@
 
 class Engine;
 
+namespace detail {
+/// Reason of refusals and rollbacks because of an orderly stop.
+inline constexpr std::string_view StoppingReason = "the proxy stops";
+} // namespace detail
+
 /// Receives the answers to the statements of a session.
 using ReplySink = std::function<void(CallerReply)>;
 
@@ -34,9 +39,15 @@
   bool idle() const {
     return !Current && Queue.empty() && State == TransactionState::None;
   }
+  /// An operation was refused because the proxy stops. The caller should send
+  /// it again in a new session, which another proxy serves.
+  bool refusedByStop() const { return RefusedByStop; }
   bool inTransaction() const { return State != TransactionState::None; }
   /// Time of the last answer.
   Instant idleSince() const { return IdleSince; }
+  /// Answers the statement in progress with what is known of it, because the
+  /// process ends: not run if it was not sent, else an unknown outcome.
+  void abandonStatement(std::string_view Reason);
   /// Rolls back an open transaction because it was idle for too long.
   void endIdleTransaction();
   /// Rolls back an open transaction that has no statement in progress. The
@@ -72,6 +83,9 @@
   void dropTransaction();
   bool resolveRoute();
   void refuseDatabase(const Statement &S);
+  /// True if the stopping proxy begins no operation with such a statement.
+  bool mustRefuse(StatementKind K) const;
+  void refuseStopping(const Statement &S);
 
   Engine &SessionEngine;
   const SessionId Id;
@@ -99,6 +113,7 @@
   JobRef Current;
   bool Handling = false;
   bool Closed = false;
+  bool RefusedByStop = false;
 };
 
 } // namespace eelgrassloom
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -110,9 +110,19 @@
 
 bool Engine::ready() const { return Config.Version != 0 && !Servers.empty(); }
 
-void Engine::endTransactions(std::string_view Reason) {
+void Engine::applyStop(StopPhase Phase) {
+  Stop = Phase;
+  if (Phase >= StopPhase::EndingTransactions)
+    for (const auto &Entry : Sessions)
+      Entry.second->endTransaction(detail::StoppingReason);
+  if (Phase < StopPhase::Ending)
+    return;
+  // The answers may close sessions.
+  std::vector<std::shared_ptr<Session>> All;
   for (const auto &Entry : Sessions)
-    Entry.second->endTransaction(Reason);
+    All.push_back(Entry.second);
+  for (const auto &S : All)
+    S->abandonStatement(detail::StoppingReason);
 }
 
 void Engine::tick() {
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -36,6 +36,42 @@
     Client->Stream->send(encode(ForwardLeaving{}));
 }
 
+void StatementForwarder::applyStop(StopPhase Phase) {
+  for (const PeerClientRef &Client : Clients) {
+    if (Phase >= StopPhase::EndingTransactions)
+      endTransactions(Client);
+    if (Phase >= StopPhase::Ending)
+      returnUnsent(Client);
+  }
+}
+
+void StatementForwarder::endTransactions(const PeerClientRef &Client) {
+  std::set<ConnectionRef> InUse;
+  for (const auto &[Exchange, J] : Client->Running)
+    if (J->Pinned)
+      InUse.insert(J->Pinned->Connection);
+  std::vector<std::uint64_t> Unused;
+  for (const auto &[Number, Pinned] : Client->Transactions)
+    if (InUse.count(Pinned.Connection) == 0)
+      Unused.push_back(Number);
+  for (std::uint64_t Number : Unused)
+    rollBackForwarded(Client, Number);
+}
+
+void StatementForwarder::returnUnsent(const PeerClientRef &Client) {
+  std::vector<std::uint64_t> Unsent;
+  for (const auto &[Exchange, J] : Client->Running)
+    if (!J->Sent && !J->Pinned && !J->ForwardedTo)
+      Unsent.push_back(Exchange);
+  for (std::uint64_t Exchange : Unsent) {
+    cancelForwarded(Client, Exchange);
+    ForwardAnswer Answer;
+    Answer.Exchange = Exchange;
+    Answer.Unservable = true;
+    Client->Stream->send(encode(Answer));
+  }
+}
+
 bool StatementForwarder::servesPeers() const {
   return std::any_of(
       Clients.begin(), Clients.end(), [](const PeerClientRef &Client) {
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -7,6 +7,9 @@
 /// A statement that arrives while this many wait is refused as malformed.
 constexpr std::size_t MaxQueuedStatements = 64;
 
+/// Retry hint of a refusal because of a stop: other proxies run on.
+constexpr Duration StopRetryHint = std::chrono::milliseconds(100);
+
 bool isDataStatement(StatementKind K) {
   return K == StatementKind::Read || K == StatementKind::Write ||
          K == StatementKind::Execute;
@@ -75,6 +78,10 @@
     FirstTry = firstTry(LastRefused, Arrived);
     LastRefused.reset();
   }
+  if (State == TransactionState::None && mustRefuse(S.Kind)) {
+    refuseStopping(S);
+    return;
+  }
   bool Ends =
       S.Kind == StatementKind::Commit || S.Kind == StatementKind::Rollback;
   if (EndedByProxy && !Ends) {
@@ -128,6 +135,25 @@
   answerOk();
 }
 
+bool Session::mustRefuse(StatementKind K) const {
+  StopPhase Phase = SessionEngine.stopPhase();
+  if (K == StatementKind::Begin || K == StatementKind::BeginRead)
+    return Phase >= StopPhase::EndingTransactions;
+  return detail::isDataStatement(K) && Phase >= StopPhase::Refusing;
+}
+
+/// The caller still has time to send the statement to another proxy, and its
+/// answer might not arrive here before the process ends.
+void Session::refuseStopping(const Statement &S) {
+  RefusedByStop = true;
+  SessionEngine.events().write(
+      EngineEvent::StatementRefused,
+      {{"id", S.Id}, {"session", Id}, {"reason", detail::StoppingReason}});
+  answerError(ReplyCode::Busy,
+              std::string(detail::StoppingReason) + "; retry after " +
+                  std::to_string(toMillis(detail::StopRetryHint)) + " ms");
+}
+
 void Session::refuseDatabase(const Statement &S) {
   SessionEngine.logNoRoute(Database, S.Id);
   answerError(ReplyCode::NoDatabase, "no route for " + Database);
@@ -320,6 +346,33 @@
   answer(std::move(R));
 }
 
+void Session::abandonStatement(std::string_view Reason) {
+  if (!Current)
+    return;
+  auto Self = shared_from_this();
+  JobRef J = Current;
+  // Cancelling closes the connection of a transaction, which rolls it back, and
+  // nothing that was not sent is sent later.
+  bool MayHaveRun = J->Sent || J->ForwardedTo != nullptr;
+  ServiceGroup->cancel(J);
+  SessionEngine.events().write(
+      MayHaveRun ? EngineEvent::StatementUnknown
+                 : EngineEvent::StatementRefused,
+      {{"id", J->Call.Id},
+       {"session", Id},
+       {"service", J->Route.Service},
+       {"reason", Reason},
+       {"after_ms", SessionEngine.runtime().Now() - J->Arrived}});
+  JobResult Result;
+  Result.Reply.NoAnswer = MayHaveRun;
+  if (!MayHaveRun) {
+    Result.Reply.Error = ReplyCode::Busy;
+    Result.Reply.ErrorText = std::string(Reason);
+  }
+  handleResult(J, std::move(Result));
+  processQueue();
+}
+
 void Session::endIdleTransaction() {
   if (!Current)
     endTransaction("idle");
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -10,8 +10,11 @@
 namespace {
 
 constexpr Duration RequestTimeout = 6s;
-/// Pause between two requests of a caller, and before it reconnects.
+/// Pause between two requests of most callers, and before any reconnects.
 constexpr Duration RequestPause = 25ms;
+/// Every caller with a number that this divides sends its next request as soon
+/// as it has the answer, so that its connection is never idle.
+constexpr unsigned BusyCallerInterval = 6;
 constexpr unsigned ItemCount = 8;
 
 /// Whether the error code guarantees that the attempt had no effect.
@@ -50,8 +53,8 @@
   SessionValue.clear();
   Decoder = {};
   Socket = tcp::socket(Loop);
-  tcp::endpoint To(platform::asio::ip::make_address("127.0.0.1"),
-                   Ports[Random() % Ports.size()]);
+  Port = Ports[Random() % Ports.size()];
+  tcp::endpoint To(platform::asio::ip::make_address("127.0.0.1"), Port);
   Socket.async_connect(To, [Self = shared_from_this()](error_code Error) {
     if (Error) {
       runAfter(Self->Loop, 10 * RequestPause, [Self] { Self->connect(); });
@@ -94,6 +97,10 @@
 
 void Caller::handleDisconnect() {
   Timer.cancel();
+  if (Pending && TestOracle.StoppingPorts.count(Port) != 0 &&
+      TestOracle.Received.count(Pending->Id) != 0)
+    TestOracle.Violations.push_back(
+        {"LOST", Pending->Id + " at a proxy that was told to stop", 0});
   if (Pending && Pending->Commits)
     ++TestOracle.Unknown;
   Pending.reset();
@@ -182,7 +189,8 @@
     if (Reply.State != TransactionState::None)
       Requests.push_back({newRequestId(), "ROLLBACK", "", false, false});
   }
-  runAfter(Loop, RequestPause, [Self = shared_from_this()] {
+  Duration Pause = Number % BusyCallerInterval == 0 ? 0ms : RequestPause;
+  runAfter(Loop, Pause, [Self = shared_from_this()] {
     if (!Self->Socket.is_open() || Self->Pending)
       return;
     if (Self->Requests.empty())
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr Duration StatementTime = 4ms;
 constexpr Duration PromotionTime = 150ms;
 /// Time until a former primary notices the promotion of another server.
 constexpr Duration DemotionDelay = 1s;
@@ -83,10 +82,14 @@
     while ((End = Input.find("\r\n")) != std::string::npos) {
       std::string Line = Input.substr(0, End);
       Input.erase(0, End + 2);
-      runAfter(Parent->Loop, StatementTime, [Self = shared_from_this(), Line] {
-        if (Self->Parent->Up && Self->Socket.is_open())
-          Self->run(Line);
-      });
+      auto W = splitWords(Line);
+      if (W.size() > 2 && W[0] == "QUERY")
+        Parent->TestOracle.Received.insert(W[1]);
+      runAfter(Parent->Loop, Parent->StatementTime,
+               [Self = shared_from_this(), Line] {
+                 if (Self->Parent->Up && Self->Socket.is_open())
+                   Self->run(Line);
+               });
     }
   }
 
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -2,7 +2,8 @@
 /// Randomized fault soak: runs real proxy processes against the stand-ins,
 /// injects faults from outside and checks every answer. Usage:
 /// soak PROGRAM SEED [SECONDS [PROXIES [FAULT]]], where FAULT is an injected
-/// fault that the checks must report: promotion or rules.
+/// fault that the checks must report, promotion or rules, or takes the place of
+/// the random faults: stops, orderly stops of one proxy after the other.
 
 #include "ports.h"
 #include "standins.h"
@@ -36,12 +37,17 @@
 /// Interval between probes of the configuration.
 constexpr Duration ProbeInterval = 20ms;
 
-/// A fault that proxies can't prevent, injected to show that the checks report
-/// it: a promotion outside the promotion call, or a configuration that is
-/// changed but not stored.
-enum class InjectedFault : std::uint8_t { None, Promotion, Config };
-constexpr std::array<std::string_view, 3> InjectedFaultNames = {
-    "none", "promotion", "rules"};
+/// Faults that replace the random ones. Promotion (outside the promotion call)
+/// and Config (a configuration that is changed but not stored) can't be
+/// prevented by proxies and show that the checks report them. Stops are planned
+/// work: orderly stops of one proxy after the other.
+enum class InjectedFault : std::uint8_t { None, Promotion, Config, Stops };
+constexpr std::array<std::string_view, 4> InjectedFaultNames = {
+    "none", "promotion", "rules", "stops"};
+/// Time between two orderly stops, and that a request takes at a server
+/// meanwhile: long, so that a stop finds requests in progress.
+constexpr Duration StopInterval = 1500ms;
+constexpr Duration SlowStatementTime = 100ms;
 
 /// One proxy process. Signals are sent only to its own process id.
 struct Proxy {
@@ -89,6 +95,7 @@
   void tick();
   void injectFault();
   void injectProxyFault(Proxy &P);
+  void stopProxies(std::size_t Next);
   void injectServerFault(Server &S);
   void injectStoreFault();
   void heal();
@@ -230,11 +237,17 @@
   }
   posix_spawn_file_actions_destroy(&Actions);
   P.HealthySince = now();
+  TestOracle.StoppingPorts.erase(P.CallerPort);
 }
 
 void Soak::signalProxy(Proxy &P, int Signal) {
-  if (P.Pid != 0)
-    kill(P.Pid, Signal);
+  if (P.Pid == 0)
+    return;
+  if (Signal == SIGTERM && P.HealthySince != Instant::max())
+    TestOracle.StoppingPorts.insert(P.CallerPort);
+  if (Signal == SIGKILL || Signal == SIGSTOP)
+    TestOracle.StoppingPorts.erase(P.CallerPort);
+  kill(P.Pid, Signal);
 }
 
 /// Restarts a proxy that has ended; a violation if a signal other than SIGKILL
@@ -275,13 +288,13 @@
     return;
   case 1:
     logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
-    P.HealthySince = Instant::max();
     signalProxy(P, SIGTERM);
+    P.HealthySince = Instant::max();
     return;
   case 2:
     logEvent("pause " + P.Settings.substr(P.Settings.size() - 7));
-    P.HealthySince = Instant::max();
     signalProxy(P, SIGSTOP);
+    P.HealthySince = Instant::max();
     runAfter(Loop, std::chrono::milliseconds(200 + Random() % 3500),
              [this, &P, Id = P.Pid] {
                signalProxy(P, SIGCONT);
@@ -295,6 +308,17 @@
   }
 }
 
+/// Stops the proxy \p Next, and the one after it a little later.
+void Soak::stopProxies(std::size_t Next) {
+  if (!FaultsEnabled)
+    return;
+  Proxy &P = Proxies[Next % Proxies.size()];
+  logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
+  signalProxy(P, SIGTERM);
+  P.HealthySince = Instant::max();
+  runAfter(Loop, StopInterval, [this, Next] { stopProxies(Next + 1); });
+}
+
 void Soak::injectServerFault(Server &S) {
   auto RunLater = [this](std::function<void()> Run) {
     runAfter(Loop, std::chrono::milliseconds(300 + Random() % 4000),
@@ -412,13 +436,17 @@
     runAfter(Loop, 1s, [this, I] { Callers[I]->run(); });
   }
   runAfter(Loop, WarmUp, [this] {
-    // An injected fault comes without random faults: either a promotion outside
-    // the promotion call, or configuration changes that are never stored.
+    // An injected fault comes without random faults.
     FaultsEnabled = Injected != InjectedFault::Promotion;
     if (Injected == InjectedFault::Promotion)
       Group.promote("i-b");
     if (Injected == InjectedFault::None)
       injectFault();
+    if (Injected == InjectedFault::Stops) {
+      for (const ServerRef &S : Group.Members)
+        S->StatementTime = SlowStatementTime;
+      stopProxies(0);
+    }
     changeConfig();
     probeConfig();
   });
@@ -458,7 +486,9 @@
   for (std::size_t I = 0; I < Remaining.size() && I < 20; ++I)
     std::printf("  %s %s\n", Remaining[I].Kind.c_str(),
                 Remaining[I].Text.c_str());
-  bool Failed = Remaining.empty() != (Injected == InjectedFault::None);
+  bool MustReport =
+      Injected == InjectedFault::Promotion || Injected == InjectedFault::Config;
+  bool Failed = Remaining.empty() == MustReport;
   if (!Failed)
     std::filesystem::remove_all(Directory);
   else
@@ -472,7 +502,7 @@
   if (Argc < 3) {
     std::fprintf(stderr,
                  "usage: %s PROGRAM SEED [SECONDS [PROXIES "
-                 "[promotion|rules]]]\n",
+                 "[promotion|rules|stops]]]\n",
                  Argv[0]);
     return 2;
   }
@@ -483,7 +513,8 @@
   auto Name = std::find(InjectedFaultNames.begin(), InjectedFaultNames.end(),
                         FaultName);
   if (Name == InjectedFaultNames.end()) {
-    std::fprintf(stderr, "the injected fault must be promotion or rules\n");
+    std::fprintf(stderr,
+                 "the injected fault must be promotion, rules or stops\n");
     return 2;
   }
   if (Seconds <= 0 || Count <= 0) {
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -46,6 +46,8 @@
   /// - TWICE: a write is applied more than once.
   /// - REFUSED: a write that was reported as failed takes effect.
   /// - CONFIG: a proxy applies a change of the configuration too late.
+  /// - LOST: a proxy that stops in order ends a connection without an answer
+  ///   to a request that it has sent to a server.
   /// - CRASH: a proxy is ended by a signal other than SIGKILL.
   /// - RECOVER: no request succeeds at the end, after all faults have ended.
   std::string Kind;
@@ -90,6 +92,10 @@
   std::unordered_map<std::string, CommitId> CommitOfSignature;
   /// By value.
   std::unordered_map<std::string, WriteOutcome> Writes;
+  /// Ids of the requests that a server has received.
+  std::unordered_set<std::string> Received;
+  /// Caller ports of the proxies that were told to stop and had no fault since.
+  std::set<std::uint16_t> StoppingPorts;
   std::vector<Violation> Violations;
   std::uint64_t NextCommit = 1;
   std::uint64_t NextSignature = 1;
@@ -137,6 +143,8 @@
   bool Up = false;
   bool Draining = false;
   NetworkMode Mode = NetworkMode::Normal;
+  /// Time that a request takes.
+  Duration StatementTime = std::chrono::milliseconds(4);
   /// Age at which commits of the primary reach this replica.
   Duration Lag = std::chrono::milliseconds(20);
   /// When a former primary notices that a newer one was promoted and becomes a
@@ -313,6 +321,8 @@
   Oracle &TestOracle;
   const unsigned Number;
   std::vector<std::uint16_t> Ports;
+  /// Port of the current proxy.
+  std::uint16_t Port = 0;
   std::mt19937_64 Random;
   tcp::socket Socket;
   platform::asio::steady_timer Timer;
