A promotion that the platform turned away is called again for the same server

Cause: any answer but 200 to POST /promote counted as a refusal by that server, which then was no candidate for 1 s, so that a replica with fewer commits was promoted. 429 and 503 say nothing about the server.

--- a/packages/control/include/control/store.h
+++ b/packages/control/include/control/store.h
@@ -100,9 +100,17 @@
                           Handler Done) = 0;
 };
 
-enum class PromotionOutcome : std::uint8_t { Accepted, Refused, NoAnswer };
-inline constexpr std::array<std::string_view, 3> PromotionOutcomeNames = {
-    "accepted", "refused", "no-answer"};
+enum class PromotionOutcome : std::uint8_t {
+  Accepted,
+  /// This server can't be promoted; it is not running.
+  Refused,
+  /// The platform did not handle the call, for example because it is
+  /// overloaded. This says nothing about the server.
+  TurnedAway,
+  NoAnswer,
+};
+inline constexpr std::array<std::string_view, 4> PromotionOutcomeNames = {
+    "accepted", "refused", "turned-away", "no-answer"};
 constexpr std::string_view name(PromotionOutcome O) {
   return PromotionOutcomeNames[static_cast<std::size_t>(O)];
 }
--- a/packages/control/src/promotion.cpp
+++ b/packages/control/src/promotion.cpp
@@ -350,6 +350,8 @@
                                                 {"outcome", name(Outcome)}});
                   if (Outcome == PromotionOutcome::Refused)
                     promotionRefused(G.Promotion, Server, now());
+                  else if (Outcome == PromotionOutcome::TurnedAway)
+                    promotionTurnedAway(G.Promotion, now());
                 });
       });
 }
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -127,6 +127,8 @@
   Duration SettleTime = std::chrono::milliseconds(400);
   /// Time after which a promotion without an answer or an effect is retried.
   Duration PromotionRetryDelay = std::chrono::milliseconds(2500);
+  /// Pause after a promotion call that the platform did not handle.
+  Duration TurnedAwayDelay = std::chrono::milliseconds(250);
   /// Time for which a server whose promotion was refused is no candidate.
   Duration RefusalBackoff = std::chrono::milliseconds(1000);
 };
@@ -206,6 +208,8 @@
   UpstreamId Candidate;
   /// When the promotion of Candidate was called; empty if it was refused.
   std::optional<Instant> CalledAt;
+  /// No promotion is called before this time.
+  Instant NextCall;
   /// True if any promotion was called in this epoch, also a refused one.
   bool Called = false;
   std::map<UpstreamId, Instant, std::less<>> RefusedAt;
@@ -271,6 +275,10 @@
 /// Records that the platform refused to promote \p Id.
 void promotionRefused(PromotionState &S, const UpstreamId &Id, Instant Now);
 
+/// Records that the platform did not handle the last call. It is repeated after
+/// PromotionOptions::TurnedAwayDelay, for the server that is best then.
+void promotionTurnedAway(PromotionState &S, Instant Now);
+
 /// Why the primary of a stable record should be replaced; None if it should
 /// not.
 PromotionReason promotionReason(const PromotionOptions &Options,
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -113,6 +113,7 @@
   S.CalledAt.reset();
   S.Called = false;
   S.RefusedAt.clear();
+  S.NextCall = Now;
 }
 
 /// True if a lease that started at \p Since has ended, also for a proxy whose
@@ -196,6 +197,8 @@
   }
   if (In.CallOutstanding && Now - In.LockHeldSince < S.Options.TakeoverDelay)
     return {};
+  if (Now < S.NextCall)
+    return {};
   const ServerEntry *Candidate = bestCandidate(S, In, Now);
   if (Candidate == nullptr || mustCatchUp(S, In, *Candidate, Now))
     return {};
@@ -342,4 +345,9 @@
   S.CalledAt.reset();
 }
 
+void promotionTurnedAway(PromotionState &S, Instant Now) {
+  S.NextCall = Now + S.Options.TurnedAwayDelay;
+  S.CalledAt.reset();
+}
+
 } // namespace eelgrassloom
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -493,6 +493,25 @@
   }
 }
 
+// Guards against the loss of commits that only one replica has: the platform
+// turned its promotion away once, and another one was promoted
+// (review/other/turned-away).
+TEST_CASE("a promotion that was turned away is called again") {
+  PromotionFixture X;
+  X.revoke();
+  X.acknowledge(7);
+  X.tick();
+  X.tick(500ms);
+  X.status("b", Role::Replica, 9);
+  X.status("c", Role::Replica, 8);
+  REQUIRE(X.promoted(X.tick()) == "b");
+  promotionTurnedAway(X.S, X.Now);
+  X.status("b", Role::Replica, 9);
+  X.status("c", Role::Replica, 8);
+  CHECK(X.promoted(X.tick()).empty());
+  CHECK(X.promoted(X.tick(X.S.Options.TurnedAwayDelay)) == "b");
+}
+
 TEST_CASE("a server that refused the promotion is passed over") {
   PromotionFixture X;
   X.revoke();
