Tests of the choice of the promoted server in a file of their own

promotion-test.cpp had grown to 700 lines. The tests of kernel/candidate.h move to candidate-test.cpp and the fixture to promotionfixture.h, without a change of a check: 47 cases before, 32 and 15 after.

--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -1,95 +1,10 @@
-#include "kernel/promotion.h"
+#include "promotionfixture.h"
 #include <doctest/doctest.h>
 
 using namespace eelgrassloom;
+using namespace eelgrassloom::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-/// A group of three servers and seven proxies, as the holder of the promotion
-/// lock sees them.
-struct PromotionFixture {
-  PromotionFixture() {
-    In.Record = {"s", 1, GroupStage::Stable, "a"};
-    In.Proxies = &Proxies;
-    In.Statuses = &Statuses;
-    In.EarlierCallPossible = false;
-    In.CallOutstanding = false;
-    for (const char *Id : {"a", "b", "c"}) {
-      ServerEntry E;
-      E.Id = Id;
-      E.Service = "s";
-      E.ReportedRole = E.Id == "a" ? Role::Primary : Role::Replica;
-      In.Servers.push_back(E);
-    }
-    In.TotalServers = 9;
-    for (int I = 0; I < 7; ++I) {
-      ProxyReport P;
-      P.Id = "p" + std::to_string(I);
-      P.Revision = 1;
-      Proxies.push_back(P);
-    }
-    Now = Instant(100s);
-  }
-
-  std::vector<PromotionAction> tick(Duration D = 100ms) {
-    Now += D;
-    In.ProxiesReadAt = Now;
-    return step(S, In, Now);
-  }
-
-  void report(int Count) {
-    for (int I = 0; I < Count; ++I)
-      Proxies[I].Unreachable.insert("a");
-  }
-
-  /// Applies the record write among the actions; false if there is none.
-  bool stored(const std::vector<PromotionAction> &Actions) {
-    for (const auto &Action : Actions)
-      if (const auto *R = std::get_if<WritePrimaryRecord>(&Action)) {
-        In.Record = R->Record;
-        return true;
-      }
-    return false;
-  }
-
-  /// Lets all proxies report the primary until its record is revoked.
-  void revoke() {
-    report(7);
-    tick();
-    REQUIRE(stored(tick(400ms)));
-    REQUIRE(In.Record.Stage == GroupStage::Revoking);
-    tick();
-  }
-
-  void acknowledge(int Count) {
-    for (int I = 0; I < Count; ++I)
-      Proxies[I].Acknowledged["s"] = In.Record.Epoch;
-  }
-
-  void status(const char *Id, Role R, std::uint64_t Index,
-              std::uint64_t Term = 1) {
-    Now += 1ms; // The query is sent after all earlier events.
-    Statuses[Id] = {true, R, Term, {1, Index}, Now};
-  }
-
-  /// The server that the actions promote; empty if there is none.
-  UpstreamId promoted(const std::vector<PromotionAction> &Actions) {
-    for (const auto &Action : Actions)
-      if (const auto *P = std::get_if<PromoteServer>(&Action))
-        return P->Id;
-    return {};
-  }
-
-  PromotionState S;
-  PromotionInput In;
-  std::vector<ProxyReport> Proxies;
-  std::map<UpstreamId, ServerStatus, std::less<>> Statuses;
-  Instant Now;
-};
-
-} // namespace
-
 TEST_CASE("the first record names the reported primary") {
   PromotionFixture X;
   X.In.Record = {"s", 0, GroupStage::Stable, ""};
@@ -185,20 +100,6 @@
   }
 }
 
-TEST_CASE("when all have acknowledged the best replica is promoted at once") {
-  PromotionFixture X;
-  X.revoke();
-  X.acknowledge(7);
-  X.Statuses["a"] = {}; // Does not answer.
-  X.tick();
-  X.status("b", Role::Replica, 5);
-  X.status("c", Role::Replica, 7);
-  UpstreamId Chosen;
-  for (int I = 0; I < 5 && Chosen.empty(); ++I)
-    Chosen = X.promoted(X.tick());
-  CHECK(Chosen == "c");
-}
-
 // Guards against two servers of a group in use as its primary at a time. A
 // server was promoted while a proxy that had been evicted because of another
 // group still held a lease on the old primary, because its peers extended it
@@ -422,62 +323,6 @@
   CHECK_FALSE(X.stored(X.tick()));
 }
 
-TEST_CASE("a leaving primary is replaced by a replica that has caught up") {
-  PromotionFixture X;
-  X.In.Servers[0].Draining = true;
-  REQUIRE(X.stored(X.tick(500ms)));
-  X.acknowledge(7);
-  X.tick();
-  X.tick();
-  X.status("a", Role::Primary, 9);
-  X.status("b", Role::Replica, 8);
-  CHECK(X.promoted(X.tick()).empty());
-  X.status("a", Role::Primary, 9);
-  X.status("b", Role::Replica, 9);
-  CHECK(X.promoted(X.tick()) == "b");
-}
-
-// Guards against a promotion that waits for the status query of the old
-// primary, which takes long to fail if the failure domain of the primary is
-// partitioned.
-TEST_CASE("a lost primary is replaced once both replicas have answered") {
-  PromotionFixture X;
-  X.revoke();
-  X.acknowledge(7);
-  X.tick();
-  REQUIRE(X.S.LeasesEndedAt);
-  X.status("b", Role::Replica, 8);
-  CHECK(X.promoted(X.tick()).empty());
-  X.status("b", Role::Replica, 8);
-  X.status("c", Role::Replica, 9);
-  CHECK(X.promoted(X.tick(10ms)) == "c");
-}
-
-TEST_CASE("a replica that does not answer delays a promotion only briefly") {
-  PromotionFixture X;
-  X.revoke();
-  X.acknowledge(7);
-  X.tick();
-  X.status("b", Role::Replica, 8);
-  CHECK(X.promoted(X.tick(300ms)) == "b");
-}
-
-// Guards against the loss of a commit that only one replica has received.
-TEST_CASE("with synchronous replication all replicas must answer") {
-  PromotionFixture X;
-  X.In.SyncReplicas = 1;
-  X.revoke();
-  X.acknowledge(7);
-  X.tick();
-  for (int I = 0; I < 30; ++I) {
-    X.status("b", Role::Replica, 8);
-    CHECK(X.promoted(X.tick()).empty());
-  }
-  X.status("b", Role::Replica, 8);
-  X.status("c", Role::Replica, 9);
-  CHECK(X.promoted(X.tick()) == "c");
-}
-
 // Guards against a promotion call of an earlier lock holder that arrives after
 // one of the new holder.
 TEST_CASE("a new lock holder waits for calls of the previous one") {
@@ -493,40 +338,6 @@
   }
 }
 
-// Guards against the loss of commits that only one replica has: the platform
-// turned its promotion away once, and another one was promoted
-// (review/other/turned-away).
-TEST_CASE("a promotion that was turned away is called again") {
-  PromotionFixture X;
-  X.revoke();
-  X.acknowledge(7);
-  X.tick();
-  X.tick(500ms);
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 8);
-  REQUIRE(X.promoted(X.tick()) == "b");
-  promotionTurnedAway(X.S, X.Now);
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 8);
-  CHECK(X.promoted(X.tick()).empty());
-  CHECK(X.promoted(X.tick(X.S.Options.TurnedAwayDelay)) == "b");
-}
-
-TEST_CASE("a server that refused the promotion is passed over") {
-  PromotionFixture X;
-  X.revoke();
-  X.acknowledge(7);
-  X.tick();
-  X.tick(500ms);
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 8);
-  REQUIRE(X.promoted(X.tick()) == "b");
-  promotionRefused(X.S, "b", X.Now);
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 8);
-  CHECK(X.promoted(X.tick()) == "c");
-}
-
 // Guards against a primary that is never replaced because only the owners of
 // its service notice that it has failed, and they are too few of all proxies.
 TEST_CASE("with owners the reports are counted by failure domain") {
@@ -568,142 +379,6 @@
   CHECK(X.In.Record.Term == 2);
 }
 
-namespace {
-
-/// The primary "b" of term 2 is lost. "a", its predecessor, can be reached
-/// again, but has not followed it: its log ends in term 1.
-struct FormerPrimaryFixture : PromotionFixture {
-  FormerPrimaryFixture() {
-    In.Record = {"s", 3, GroupStage::Stable, "b", 2};
-    for (auto &P : Proxies)
-      P.Unreachable.insert("b");
-    tick();
-    REQUIRE(stored(tick(400ms)));
-    acknowledge(7);
-    Statuses["b"] = {}; // Does not answer.
-    tick();
-    tick();
-    REQUIRE(S.LeasesEndedAt);
-  }
-
-  /// Ticks for \p Time with answers of "a"; the first server promoted.
-  UpstreamId promotedWithin(Duration Time) {
-    UpstreamId First;
-    for (Instant End = Now + Time; Now < End && First.empty();) {
-      status("a", Role::Primary, 90, 1);
-      First = promoted(tick());
-    }
-    return First;
-  }
-};
-
-} // namespace
-
-// Guards against the loss of all commits of a term, and against stale reads: a
-// former primary that had not followed its successor was promoted again with
-// its old log when the successor was lost (review case 2).
-TEST_CASE("a former primary that has not followed its successor must wait") {
-  FormerPrimaryFixture X;
-  CHECK(X.promotedWithin(10s).empty());
-  // Once it follows, it is as good as any replica.
-  X.status("a", Role::Replica, 5, 2);
-  CHECK(X.promoted(X.tick()) == "a");
-}
-
-TEST_CASE("a replica of the lost primary goes before its predecessor") {
-  FormerPrimaryFixture X;
-  X.status("a", Role::Primary, 90, 1);
-  X.status("c", Role::Replica, 20, 2);
-  CHECK(X.promoted(X.tick()) == "c");
-}
-
-TEST_CASE("a lost primary that answers again keeps its commits") {
-  FormerPrimaryFixture X;
-  REQUIRE(X.promotedWithin(5s).empty());
-  for (auto &P : X.Proxies)
-    P.Unreachable.clear();
-  X.status("b", Role::Primary, 20, 2);
-  REQUIRE(X.stored(X.tick()));
-  CHECK(X.In.Record.Stage == GroupStage::Stable);
-  CHECK(X.In.Record.Primary == "b");
-  CHECK(X.In.Record.Term == 2);
-}
-
-// Guards against a group that stays without a primary because the servers that
-// have its last term are lost for good.
-TEST_CASE("a server with an older log is promoted when nothing else is left") {
-  FormerPrimaryFixture X;
-  CHECK(X.promotedWithin(X.S.Options.OlderTermDelay + 1s) == "a");
-  CHECK(X.Now - *X.S.LeasesEndedAt >= X.S.Options.OlderTermDelay);
-}
-
-// Guards against the loss of commits that only a replica has which is about to
-// stop: it was never a candidate (review case 2,
-// review/other/draining-replica).
-TEST_CASE("a draining replica is promoted if it alone has the last commits") {
-  PromotionFixture X;
-  X.In.Servers[1].Draining = true;
-  X.revoke();
-  X.acknowledge(7);
-  X.Statuses["a"] = {}; // Does not answer.
-  X.tick();
-  X.tick();
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 8);
-  CHECK(X.promoted(X.tick()) == "b");
-}
-
-TEST_CASE("a replica that stays goes before a draining one with the same log") {
-  for (int Draining : {1, 2}) {
-    PromotionFixture X;
-    X.In.Servers[Draining].Draining = true;
-    X.revoke();
-    X.acknowledge(7);
-    X.Statuses["a"] = {}; // Does not answer.
-    X.tick();
-    X.tick();
-    X.status("b", Role::Replica, 9);
-    X.status("c", Role::Replica, 9);
-    CHECK(X.promoted(X.tick()) == (Draining == 1 ? "c" : "b"));
-  }
-}
-
-// Guards against a second promotion right after the first: a replica that stays
-// receives the last commits from a primary that still answers.
-TEST_CASE("while the old primary answers, a draining replica is no candidate") {
-  PromotionFixture X;
-  X.In.Servers[0].Draining = true;
-  X.In.Servers[1].Draining = true;
-  REQUIRE(X.stored(X.tick(500ms)));
-  X.acknowledge(7);
-  X.tick();
-  X.tick();
-  X.status("a", Role::Primary, 9);
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 8);
-  CHECK(X.promoted(X.tick()).empty());
-  X.status("a", Role::Primary, 9);
-  X.status("b", Role::Replica, 9);
-  X.status("c", Role::Replica, 9);
-  CHECK(X.promoted(X.tick()) == "c");
-}
-
-// Guards against a group without a primary while its only other server, which
-// is about to stop, has all commits.
-TEST_CASE("a lost primary is replaced by a draining server if there is no "
-          "other") {
-  PromotionFixture X;
-  X.In.Servers[1].Draining = true;
-  X.In.Servers.pop_back();
-  X.revoke();
-  X.acknowledge(7);
-  X.Statuses["a"] = {}; // Does not answer.
-  X.tick();
-  X.tick();
-  X.status("b", Role::Replica, 9);
-  CHECK(X.promoted(X.tick()) == "b");
-}
-
 TEST_CASE("a leaving primary is not replaced by another leaving server") {
   PromotionFixture X;
   for (ServerEntry &Server : X.In.Servers)
