Statements that a stop refuses or cuts short are counted, and unknown databases named

Found when the change was read again: eelgrassloom_statements_total lacked what a stopping proxy refuses, events 161 and 163 of a stop lacked service and priority, and a statement for a database without a route was refused with BUSY instead of NODB. Test: the count in stop-test.

--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -47,7 +47,7 @@
   Instant idleSince() const { return IdleSince; }
   /// Answers the statement in progress with what is known of it, because the
   /// process ends: not run if it was not sent, else an unknown outcome.
-  void abandonStatement(std::string_view Reason);
+  void abandonStatement();
   /// Rolls back an open transaction because it was idle for too long.
   void endIdleTransaction();
   /// Rolls back an open transaction that has no statement in progress. The
@@ -86,6 +86,9 @@
   /// True if the stopping proxy begins no operation with such a statement.
   bool mustRefuse(StatementKind K) const;
   void refuseStopping(const Statement &S);
+  /// Logs and counts a statement that the stop has refused or cut short.
+  void logStop(StatementOutcome Outcome, std::string_view Statement,
+               Duration Age);
 
   Engine &SessionEngine;
   const SessionId Id;
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -122,7 +122,7 @@
   for (const auto &Entry : Sessions)
     All.push_back(Entry.second);
   for (const auto &S : All)
-    S->abandonStatement(detail::StoppingReason);
+    S->abandonStatement();
 }
 
 void Engine::tick() {
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -145,10 +145,12 @@
 /// The caller still has time to send the statement to another proxy, and its
 /// answer might not arrive here before the process ends.
 void Session::refuseStopping(const Statement &S) {
+  if (!resolveRoute()) {
+    refuseDatabase(S);
+    return;
+  }
   RefusedByStop = true;
-  SessionEngine.events().write(
-      EngineEvent::StatementRefused,
-      {{"id", S.Id}, {"session", Id}, {"reason", detail::StoppingReason}});
+  logStop(StatementOutcome::Refused, S.Id, Duration::zero());
   answerError(ReplyCode::Busy,
               std::string(detail::StoppingReason) + "; retry after " +
                   std::to_string(toMillis(detail::StopRetryHint)) + " ms");
@@ -346,7 +348,21 @@
   answer(std::move(R));
 }
 
-void Session::abandonStatement(std::string_view Reason) {
+void Session::logStop(StatementOutcome Outcome, std::string_view Statement,
+                      Duration Age) {
+  SessionEngine.counters().recordStatement(Route.WorkPriority, Outcome, Age);
+  SessionEngine.events().write(Outcome == StatementOutcome::Unknown
+                                   ? EngineEvent::StatementUnknown
+                                   : EngineEvent::StatementRefused,
+                               {{"id", Statement},
+                                {"session", Id},
+                                {"service", Route.Service},
+                                {"rank", name(Route.WorkPriority)},
+                                {"reason", detail::StoppingReason},
+                                {"after_ms", Age}});
+}
+
+void Session::abandonStatement() {
   if (!Current)
     return;
   auto Self = shared_from_this();
@@ -355,19 +371,13 @@
   // nothing that was not sent is sent later.
   bool MayHaveRun = J->Sent || J->ForwardedTo != nullptr;
   ServiceGroup->cancel(J);
-  SessionEngine.events().write(
-      MayHaveRun ? EngineEvent::StatementUnknown
-                 : EngineEvent::StatementRefused,
-      {{"id", J->Call.Id},
-       {"session", Id},
-       {"service", J->Route.Service},
-       {"reason", Reason},
-       {"after_ms", SessionEngine.runtime().Now() - J->Arrived}});
+  logStop(MayHaveRun ? StatementOutcome::Unknown : StatementOutcome::Refused,
+          J->Call.Id, SessionEngine.runtime().Now() - J->Arrived);
   JobResult Result;
   Result.Reply.NoAnswer = MayHaveRun;
   if (!MayHaveRun) {
     Result.Reply.Error = ReplyCode::Busy;
-    Result.Reply.ErrorText = std::string(Reason);
+    Result.Reply.ErrorText = std::string(detail::StoppingReason);
   }
   handleResult(J, std::move(Result));
   processQueue();
--- a/packages/engine/test/stop-test.cpp
+++ b/packages/engine/test/stop-test.cpp
@@ -49,6 +49,8 @@
   CHECK(Caller->refusedByStop());
   CHECK(F.server("p").count("READ b") == 0);
   CHECK(F.server("p").count("WRITE c x") == 0);
+  CHECK(F.Counters->text().find("outcome=\"refused\",priority=\"normal\"} 3") !=
+        std::string::npos);
 }
 
 TEST_CASE("a proxy that ends transactions begins none") {
