--- /dev/null
+++ b/tests/soak/faults.cpp
@@ -0,0 +1,143 @@
+// The faults that the soak injects.
+
+#include "soak.h"
+#include <csignal>
+
+namespace eelgrassloom::soak {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Time between two orderly stops.
+constexpr Duration StopInterval = 1500ms;
+
+} // namespace
+
+void Soak::injectProxyFault(Proxy &P) {
+  switch (Random() % 4) {
+  case 0:
+    logEvent("kill " + P.Settings.substr(P.Settings.size() - 7));
+    signalProxy(P, SIGKILL);
+    return;
+  case 1:
+    logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
+    signalProxy(P, SIGTERM);
+    P.HealthySince = Instant::max();
+    return;
+  case 2:
+    logEvent("pause " + P.Settings.substr(P.Settings.size() - 7));
+    signalProxy(P, SIGSTOP);
+    P.HealthySince = Instant::max();
+    runAfter(Loop, std::chrono::milliseconds(200 + Random() % 3500),
+             [this, &P, Id = P.Pid] {
+               signalProxy(P, SIGCONT);
+               if (P.Pid == Id)
+                 P.HealthySince = now();
+             });
+    return;
+  default:
+    logEvent("reload " + P.Settings.substr(P.Settings.size() - 7));
+    signalProxy(P, SIGHUP);
+  }
+}
+
+/// Stops the proxy \p Next, and the one after it a little later.
+void Soak::stopProxies(std::size_t Next) {
+  if (!FaultsEnabled)
+    return;
+  Proxy &P = Proxies[Next % Proxies.size()];
+  logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
+  signalProxy(P, SIGTERM);
+  P.HealthySince = Instant::max();
+  runAfter(Loop, StopInterval, [this, Next] { stopProxies(Next + 1); });
+}
+
+void Soak::injectServerFault(Server &S) {
+  auto RunLater = [this](std::function<void()> Run) {
+    runAfter(Loop, std::chrono::milliseconds(300 + Random() % 4000),
+             std::move(Run));
+  };
+  ServerRef Ref = S.shared_from_this();
+  switch (Random() % 6) {
+  case 0:
+    logEvent("crash " + S.Id);
+    S.crash();
+    RunLater([Ref] { Ref->start(); });
+    return;
+  case 1:
+  case 2:
+    S.Mode =
+        Random() % 2 == 0 ? NetworkMode::DropAll : NetworkMode::DropReplies;
+    logEvent(
+        (S.Mode == NetworkMode::DropAll ? "drop all at " : "drop replies of ") +
+        S.Id);
+    RunLater([Ref] {
+      Ref->Mode = NetworkMode::Normal;
+      Ref->resetConnections();
+    });
+    return;
+  case 3:
+    logEvent("reset " + S.Id);
+    S.resetConnections();
+    return;
+  case 4:
+    logEvent("drain " + S.Id);
+    S.Draining = true;
+    RunLater([Ref] { Ref->Draining = false; });
+    return;
+  default:
+    logEvent("lag " + S.Id);
+    S.Lag = 1500ms;
+    RunLater([Ref] { Ref->Lag = 20ms; });
+  }
+}
+
+void Soak::injectStoreFault() {
+  std::size_t I = Random() % Proxies.size();
+  std::string Name = "p" + std::to_string(I);
+  Duration Length = std::chrono::milliseconds(500 + Random() % 8000);
+  switch (Random() % 4) {
+  case 0:
+    logEvent("store partitioned from " + Name);
+    Store.PartitionedProxies.insert(I);
+    runAfter(Loop, Length, [this, I] { Store.PartitionedProxies.erase(I); });
+    return;
+  case 1:
+    logEvent("store rejects " + Name);
+    Store.RejectedProxies.insert(I);
+    runAfter(Loop, Length, [this, I] { Store.RejectedProxies.erase(I); });
+    return;
+  case 2:
+    logEvent("store connections of " + Name + " hang");
+    Store.hangConnections(I);
+    return;
+  default:
+    break;
+  }
+  Store.Mode = static_cast<StoreMode>(1 + Random() % 4);
+  logEvent("store mode " + std::to_string(static_cast<int>(Store.Mode)));
+  runAfter(Loop, std::chrono::milliseconds(500 + Random() % 4000),
+           [this] { Store.Mode = StoreMode::Normal; });
+}
+
+void Soak::injectFault() {
+  if (!FaultsEnabled)
+    return;
+  switch (Random() % 5) {
+  case 0:
+  case 1:
+    injectProxyFault(Proxies[Random() % Proxies.size()]);
+    break;
+  case 2:
+  case 3:
+    injectServerFault(*Group.Members[Random() % Group.Members.size()]);
+    break;
+  default:
+    injectStoreFault();
+  }
+  runAfter(Loop, std::chrono::milliseconds(150 + Random() % 900),
+           [this] { injectFault(); });
+}
+
+} // namespace eelgrassloom::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,21 +5,18 @@
 /// fault that the checks must report, promotion or rules, or takes the place of
 /// the random faults: stops, orderly stops of one proxy after the other.
 
-#include "ports.h"
-#include "standins.h"
+#include "soak.h"
 #include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
-#include <filesystem>
 #include <fstream>
 #include <spawn.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
-using namespace eelgrassloom;
-using namespace eelgrassloom::soak;
+namespace eelgrassloom::soak {
+
 using namespace std::chrono_literals;
 
 namespace {
@@ -36,95 +33,11 @@
 constexpr Duration RecoveryTime = 4s;
 /// Interval between probes of the configuration.
 constexpr Duration ProbeInterval = 20ms;
-
-/// Faults that replace the random ones. Promotion (outside the promotion call)
-/// and Config (a configuration that is changed but not stored) can't be
-/// prevented by proxies and show that the checks report them. Stops are planned
-/// work: orderly stops of one proxy after the other.
-enum class InjectedFault : std::uint8_t { None, Promotion, Config, Stops };
-constexpr std::array<std::string_view, 4> InjectedFaultNames = {
-    "none", "promotion", "rules", "stops"};
-/// Time between two orderly stops, and that a request takes at a server
-/// meanwhile: long, so that a stop finds requests in progress.
-constexpr Duration StopInterval = 1500ms;
+/// Time that a request takes at a server during orderly stops: long, so that a
+/// stop finds requests in progress.
 constexpr Duration SlowStatementTime = 100ms;
 
-/// One proxy process. Signals are sent only to its own process id.
-struct Proxy {
-  /// Path of the settings file.
-  std::string Settings;
-  /// Path of the log file.
-  std::string Log;
-  std::uint16_t CallerPort = 0;
-  /// 0 while no process runs.
-  pid_t Pid = 0;
-  /// End of the proxy's last fault; Instant::max() while a fault lasts.
-  Instant HealthySince;
-};
-
-/// One run of the soak.
-class Soak {
-public:
-  Soak(std::string Program, std::uint64_t Seed, std::size_t Count,
-       InjectedFault Injected)
-      : Program(std::move(Program)), Seed(Seed), Injected(Injected),
-        Random(Seed), Group(Loop, TestOracle), Store(Loop, Group),
-        Proxies(Count) {
-    Directory =
-        std::filesystem::temp_directory_path() /
-        ("soak-" + std::to_string(getpid()) + "-" + std::to_string(Seed));
-    std::filesystem::create_directories(Directory);
-  }
-
-  /// Injects faults for \p Length; returns the exit status of the program.
-  int run(Duration Length);
-
-private:
-  void prepare();
-  void startProxy(Proxy &P);
-  void signalProxy(Proxy &P, int Signal);
-  void reap(Proxy &P);
-  void publishConfig();
-  void changeConfig();
-  bool isHealthy(const Proxy &P) const;
-  void updateStoreHealth();
-  void probeConfig();
-  void checkProbe(const Proxy &P, const std::string &Database, bool MustBeKnown,
-                  StartResult Answer);
-  /// Advances the stand-ins and restarts proxies that have ended, every 10 ms.
-  void tick();
-  void injectFault();
-  void injectProxyFault(Proxy &P);
-  void stopProxies(std::size_t Next);
-  void injectServerFault(Server &S);
-  void injectStoreFault();
-  void heal();
-  int report();
-  void logEvent(const std::string &Text) {
-    std::printf("%7lld ms  %s\n", toMillis(now() - StartedAt), Text.c_str());
-  }
-
-  std::string Program;
-  std::uint64_t Seed;
-  InjectedFault Injected;
-  std::mt19937_64 Random;
-  io_context Loop{1};
-  PortAllocator FreePorts{Loop};
-  Oracle TestOracle;
-  ServerGroup Group;
-  KeyValueStore Store;
-  std::vector<Proxy> Proxies;
-  std::vector<std::shared_ptr<Caller>> Callers;
-  std::filesystem::path Directory;
-  Instant StartedAt;
-  /// Time since which the store has had no fault of its own and at least one
-  /// healthy proxy could reach it.
-  Instant StoreHealthySince;
-  ProbeRoutes ProbedDatabases;
-  std::uint64_t Probes = 0;
-  unsigned ConfigVersion = 1;
-  bool FaultsEnabled = false;
-};
+} // namespace
 
 void Soak::publishConfig() {
   std::string Routes;
@@ -280,132 +193,6 @@
   runAfter(Loop, 10ms, [this] { tick(); });
 }
 
-void Soak::injectProxyFault(Proxy &P) {
-  switch (Random() % 4) {
-  case 0:
-    logEvent("kill " + P.Settings.substr(P.Settings.size() - 7));
-    signalProxy(P, SIGKILL);
-    return;
-  case 1:
-    logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
-    signalProxy(P, SIGTERM);
-    P.HealthySince = Instant::max();
-    return;
-  case 2:
-    logEvent("pause " + P.Settings.substr(P.Settings.size() - 7));
-    signalProxy(P, SIGSTOP);
-    P.HealthySince = Instant::max();
-    runAfter(Loop, std::chrono::milliseconds(200 + Random() % 3500),
-             [this, &P, Id = P.Pid] {
-               signalProxy(P, SIGCONT);
-               if (P.Pid == Id)
-                 P.HealthySince = now();
-             });
-    return;
-  default:
-    logEvent("reload " + P.Settings.substr(P.Settings.size() - 7));
-    signalProxy(P, SIGHUP);
-  }
-}
-
-/// Stops the proxy \p Next, and the one after it a little later.
-void Soak::stopProxies(std::size_t Next) {
-  if (!FaultsEnabled)
-    return;
-  Proxy &P = Proxies[Next % Proxies.size()];
-  logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
-  signalProxy(P, SIGTERM);
-  P.HealthySince = Instant::max();
-  runAfter(Loop, StopInterval, [this, Next] { stopProxies(Next + 1); });
-}
-
-void Soak::injectServerFault(Server &S) {
-  auto RunLater = [this](std::function<void()> Run) {
-    runAfter(Loop, std::chrono::milliseconds(300 + Random() % 4000),
-             std::move(Run));
-  };
-  ServerRef Ref = S.shared_from_this();
-  switch (Random() % 6) {
-  case 0:
-    logEvent("crash " + S.Id);
-    S.crash();
-    RunLater([Ref] { Ref->start(); });
-    return;
-  case 1:
-  case 2:
-    S.Mode =
-        Random() % 2 == 0 ? NetworkMode::DropAll : NetworkMode::DropReplies;
-    logEvent(
-        (S.Mode == NetworkMode::DropAll ? "drop all at " : "drop replies of ") +
-        S.Id);
-    RunLater([Ref] {
-      Ref->Mode = NetworkMode::Normal;
-      Ref->resetConnections();
-    });
-    return;
-  case 3:
-    logEvent("reset " + S.Id);
-    S.resetConnections();
-    return;
-  case 4:
-    logEvent("drain " + S.Id);
-    S.Draining = true;
-    RunLater([Ref] { Ref->Draining = false; });
-    return;
-  default:
-    logEvent("lag " + S.Id);
-    S.Lag = 1500ms;
-    RunLater([Ref] { Ref->Lag = 20ms; });
-  }
-}
-
-void Soak::injectStoreFault() {
-  std::size_t I = Random() % Proxies.size();
-  std::string Name = "p" + std::to_string(I);
-  Duration Length = std::chrono::milliseconds(500 + Random() % 8000);
-  switch (Random() % 4) {
-  case 0:
-    logEvent("store partitioned from " + Name);
-    Store.PartitionedProxies.insert(I);
-    runAfter(Loop, Length, [this, I] { Store.PartitionedProxies.erase(I); });
-    return;
-  case 1:
-    logEvent("store rejects " + Name);
-    Store.RejectedProxies.insert(I);
-    runAfter(Loop, Length, [this, I] { Store.RejectedProxies.erase(I); });
-    return;
-  case 2:
-    logEvent("store connections of " + Name + " hang");
-    Store.hangConnections(I);
-    return;
-  default:
-    break;
-  }
-  Store.Mode = static_cast<StoreMode>(1 + Random() % 4);
-  logEvent("store mode " + std::to_string(static_cast<int>(Store.Mode)));
-  runAfter(Loop, std::chrono::milliseconds(500 + Random() % 4000),
-           [this] { Store.Mode = StoreMode::Normal; });
-}
-
-void Soak::injectFault() {
-  if (!FaultsEnabled)
-    return;
-  switch (Random() % 5) {
-  case 0:
-  case 1:
-    injectProxyFault(Proxies[Random() % Proxies.size()]);
-    break;
-  case 2:
-  case 3:
-    injectServerFault(*Group.Members[Random() % Group.Members.size()]);
-    break;
-  default:
-    injectStoreFault();
-  }
-  runAfter(Loop, std::chrono::milliseconds(150 + Random() % 900),
-           [this] { injectFault(); });
-}
-
 void Soak::heal() {
   FaultsEnabled = false;
   Store.Mode = StoreMode::Normal;
@@ -496,7 +283,9 @@
   return Failed ? 1 : 0;
 }
 
-} // namespace
+} // namespace eelgrassloom::soak
+
+using namespace eelgrassloom::soak;
 
 int main(int Argc, char **Argv) {
   if (Argc < 3) {
@@ -525,4 +314,4 @@
               static_cast<std::size_t>(Count),
               static_cast<InjectedFault>(Name - InjectedFaultNames.begin()))
       .run(std::chrono::seconds(Seconds));
-}
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,104 @@
+/// \file
+/// One run of the randomized fault soak: real proxy processes, the stand-ins,
+/// the faults that are injected and the report.
+
+#ifndef EELGRASSLOOM_SOAK_SOAK_H
+#define EELGRASSLOOM_SOAK_SOAK_H
+
+#include "ports.h"
+#include "standins.h"
+#include <array>
+#include <cstdio>
+#include <filesystem>
+#include <unistd.h>
+
+namespace eelgrassloom::soak {
+
+/// Faults that replace the random ones. Promotion (outside the promotion call)
+/// and Config (a configuration that is changed but not stored) can't be
+/// prevented by proxies and show that the checks report them. Stops are planned
+/// work: orderly stops of one proxy after the other.
+enum class InjectedFault : std::uint8_t { None, Promotion, Config, Stops };
+constexpr std::array<std::string_view, 4> InjectedFaultNames = {
+    "none", "promotion", "rules", "stops"};
+
+/// One proxy process. Signals are sent only to its own process id.
+struct Proxy {
+  /// Path of the settings file.
+  std::string Settings;
+  /// Path of the log file.
+  std::string Log;
+  std::uint16_t CallerPort = 0;
+  /// 0 while no process runs.
+  pid_t Pid = 0;
+  /// End of the proxy's last fault; Instant::max() while a fault lasts.
+  Instant HealthySince;
+};
+
+/// One run of the soak.
+class Soak {
+public:
+  Soak(std::string Program, std::uint64_t Seed, std::size_t Count,
+       InjectedFault Injected)
+      : Program(std::move(Program)), Seed(Seed), Injected(Injected),
+        Random(Seed), Group(Loop, TestOracle), Store(Loop, Group),
+        Proxies(Count) {
+    Directory =
+        std::filesystem::temp_directory_path() /
+        ("soak-" + std::to_string(getpid()) + "-" + std::to_string(Seed));
+    std::filesystem::create_directories(Directory);
+  }
+
+  /// Injects faults for \p Length; returns the exit status of the program.
+  int run(Duration Length);
+
+private:
+  void prepare();
+  void startProxy(Proxy &P);
+  void signalProxy(Proxy &P, int Signal);
+  void reap(Proxy &P);
+  void publishConfig();
+  void changeConfig();
+  bool isHealthy(const Proxy &P) const;
+  void updateStoreHealth();
+  void probeConfig();
+  void checkProbe(const Proxy &P, const std::string &Database, bool MustBeKnown,
+                  StartResult Answer);
+  /// Advances the stand-ins and restarts proxies that have ended, every 10 ms.
+  void tick();
+  void injectFault();
+  void injectProxyFault(Proxy &P);
+  void stopProxies(std::size_t Next);
+  void injectServerFault(Server &S);
+  void injectStoreFault();
+  void heal();
+  int report();
+  void logEvent(const std::string &Text) {
+    std::printf("%7lld ms  %s\n", toMillis(now() - StartedAt), Text.c_str());
+  }
+
+  std::string Program;
+  std::uint64_t Seed;
+  InjectedFault Injected;
+  std::mt19937_64 Random;
+  io_context Loop{1};
+  PortAllocator FreePorts{Loop};
+  Oracle TestOracle;
+  ServerGroup Group;
+  KeyValueStore Store;
+  std::vector<Proxy> Proxies;
+  std::vector<std::shared_ptr<Caller>> Callers;
+  std::filesystem::path Directory;
+  Instant StartedAt;
+  /// Time since which the store has had no fault of its own and at least one
+  /// healthy proxy could reach it.
+  Instant StoreHealthySince;
+  ProbeRoutes ProbedDatabases;
+  std::uint64_t Probes = 0;
+  unsigned ConfigVersion = 1;
+  bool FaultsEnabled = false;
+};
+
+} // namespace eelgrassloom::soak
+
+#endif // EELGRASSLOOM_SOAK_SOAK_H
