What a session is told at a stop in a file of its own; forwarded statements at a stop

Two tests: write UNKNOWN, read TIMEOUT, transaction ABORTED and rolled back at the owner. Both pass without a change of the code.

--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -17,6 +17,8 @@
 namespace detail {
 /// Reason of refusals and rollbacks because of an orderly stop.
 inline constexpr std::string_view StoppingReason = "the proxy stops";
+/// True for statements that a server runs.
+bool isDataStatement(StatementKind K);
 } // namespace detail
 
 /// Receives the answers to the statements of a session.
--- /dev/null
+++ b/packages/engine/src/sessionstop.cpp
@@ -0,0 +1,70 @@
+// What a session is told while the proxy stops.
+
+#include "engine/engine.h"
+#include "engine/session.h"
+
+namespace eelgrassloom {
+namespace detail {
+
+/// Retry hint of a refusal because of a stop: other proxies run on.
+constexpr Duration StopRetryHint = std::chrono::milliseconds(100);
+
+} // namespace detail
+
+bool Session::mustRefuse(StatementKind K) const {
+  StopPhase Phase = SessionEngine.stopPhase();
+  if (K == StatementKind::Begin || K == StatementKind::BeginRead)
+    return Phase >= StopPhase::EndingTransactions;
+  return detail::isDataStatement(K) && Phase >= StopPhase::Refusing;
+}
+
+/// The caller still has time to send the statement to another proxy, and its
+/// answer might not arrive here before the process ends.
+void Session::refuseStopping(const Statement &S) {
+  if (!resolveRoute()) {
+    refuseDatabase(S);
+    return;
+  }
+  RefusedByStop = true;
+  logStop(StatementOutcome::Refused, S.Id, Duration::zero());
+  answerError(ReplyCode::Busy,
+              std::string(detail::StoppingReason) + "; retry after " +
+                  std::to_string(toMillis(detail::StopRetryHint)) + " ms");
+}
+
+void Session::logStop(StatementOutcome Outcome, std::string_view Statement,
+                      Duration Age) {
+  SessionEngine.counters().recordStatement(Route.WorkPriority, Outcome, Age);
+  SessionEngine.events().write(Outcome == StatementOutcome::Unknown
+                                   ? EngineEvent::StatementUnknown
+                                   : EngineEvent::StatementRefused,
+                               {{"id", Statement},
+                                {"session", Id},
+                                {"service", Route.Service},
+                                {"rank", name(Route.WorkPriority)},
+                                {"reason", detail::StoppingReason},
+                                {"after_ms", Age}});
+}
+
+void Session::abandonStatement() {
+  if (!Current)
+    return;
+  auto Self = shared_from_this();
+  JobRef J = Current;
+  // Cancelling closes the connection of a transaction, which rolls it back, and
+  // nothing that was not sent is sent later.
+  bool MayHaveRun = J->Sent || J->ForwardedTo != nullptr;
+  ServiceGroup->cancel(J);
+  logStop(MayHaveRun ? StatementOutcome::Unknown : StatementOutcome::Refused,
+          J->Call.Id, SessionEngine.runtime().Now() - J->Arrived);
+  JobResult Result;
+  Result.Reply.NoAnswer = MayHaveRun;
+  if (!MayHaveRun) {
+    Result.Reply.Error = ReplyCode::Busy;
+    Result.Reply.ErrorText = std::string(detail::StoppingReason);
+  }
+  handleResult(J, std::move(Result));
+  processQueue();
+}
+
+} // namespace eelgrassloom
--- a/packages/engine/test/stop-test.cpp
+++ b/packages/engine/test/stop-test.cpp
@@ -150,3 +150,35 @@
   CHECK(P.Entry.last().Signature == "sig");
   CHECK(P.Entry.server("p").count("WRITE a x") == 1);
 }
+
+// The entry stops while the owner runs the statements of its callers.
+TEST_CASE("at the end forwarded statements are answered as well") {
+  ProxyPair P;
+  P.Owner.server("p").Unresponsive = true;
+  P.Entry.open("latest")->submit(write("a"));
+  P.Entry.open("latest")->submit(read("b"));
+  P.run();
+  REQUIRE(P.Entry.Replies.empty());
+  P.Entry.SessionEngine->applyStop(StopPhase::Ending);
+  REQUIRE(P.Entry.Replies.size() == 2);
+  CHECK(P.Entry.Replies[0].Error == ReplyCode::Unknown);
+  CHECK(P.Entry.Replies[1].Error == ReplyCode::Timeout);
+  P.run();
+  CHECK(P.Entry.Replies.size() == 2);
+  CHECK_FALSE(P.OwnerForwarder->servesPeers());
+}
+
+TEST_CASE("at the end a forwarded transaction is rolled back at its owner") {
+  ProxyPair P;
+  auto Caller = P.Entry.open("latest");
+  Caller->submit(Begin);
+  Caller->submit(write("a"));
+  P.run();
+  P.Owner.server("p").Unresponsive = true;
+  Caller->submit(write("b"));
+  P.run();
+  P.Entry.SessionEngine->applyStop(StopPhase::Ending);
+  CHECK(P.Entry.last().Error == ReplyCode::Aborted);
+  P.run();
+  CHECK_FALSE(P.OwnerForwarder->servesPeers());
+}
