A write carries its session's position; a lost position is never hidden

Cause: of the requests that move a token forward, only a write reached the upstream without the session's position. Routing alone decided whether a failover had lost it, from the record of the group, which describes the old term until the first status of the new primary is seen. A write in that window ran in the new term, and its position replaced the lost one in the token: the session was never told.

Ruled out: reads (the upstream and the receiving proxy both compare with the log that served it), and the merge of tokens by the caller (one request at a time shows it).

Change: the upstream refuses a write whose minimum position its log lacks, after the search for a recorded answer; the token stays if the log that answered lost its position; event 64 is recorded.

--- a/packages/proxy/include/proxy/upstream.h
+++ b/packages/proxy/include/proxy/upstream.h
@@ -50,8 +50,9 @@
   std::uint64_t Term = 0;
   std::string RequestId;
   std::int64_t IssuedAtMillis = 0;
-  /// Execute: position that must be applied before a read runs. ConfirmTerm:
-  /// position that the upstream must hold.
+  /// Execute: position that the session has seen; a read waits for it, and a
+  /// write without a recorded answer does not run unless the log has it.
+  /// ConfirmTerm: position that the upstream must hold.
   Position MinPosition;
   /// Longest time that the upstream may wait to reach MinPosition.
   Duration Wait{0};
--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -39,6 +39,15 @@
 
 Duration sinceEpoch(Instant I) { return I.time_since_epoch(); }
 
+/// Moves the session to the position of a write. If the log that ran it has
+/// lost the session's position, the token keeps that position, so that the next
+/// request of the session is told.
+void advanceSession(PendingRequest &C, const peer::v1::ForwardAnswer &F) {
+  UpstreamStatus Status = fromWire(F.status());
+  if (lineage(Status.History, C.SessionPosition) != Lineage::Lost)
+    advance(C.Token, C.Request.database(), fromWire(F.position()));
+}
+
 } // namespace
 
 RequestRouter::RequestRouter(DataPathStateRef Shared,
@@ -313,7 +322,7 @@
   switch (A.outcome()) {
   case OUTCOME_OK:
     if (C->write() || C->begin()) {
-      advance(C->Token, C->Request.database(), fromWire(F.position()));
+      advanceSession(*C, F);
       finish(C, A);
     } else {
       verifyRead(C, F);
@@ -329,6 +338,9 @@
     bool Final = A.reason() == REASON_BAD_REQUEST ||
                  (A.reason() == REASON_POSITION_LOST && FromPrimary);
     if (Final) {
+      if (A.reason() == REASON_POSITION_LOST)
+        P->Context.Events->record(events::PositionLost, C->subject(),
+                                  "the log of the primary lacks the position");
       finish(C, A);
       return;
     }
@@ -466,7 +478,7 @@
   }
   observeAnswer(C->Request.database(), F);
   if (F.answer().outcome() == OUTCOME_OK && C->Request.step() == STEP_COMMIT)
-    advance(C->Token, C->Request.database(), fromWire(F.position()));
+    advanceSession(*C, F);
   finish(C, F.answer());
 }
 
--- a/packages/proxy/src/statementexecutor.cpp
+++ b/packages/proxy/src/statementexecutor.cpp
@@ -102,12 +102,14 @@
   C.Operation = UpstreamOperation::Execute;
   C.Write = E->write();
   C.Statement = R.statement();
+  // The record of the group may not name the start of a new term yet, so only
+  // the upstream can tell whether a failover lost the session's position.
+  C.MinPosition = fromWire(E->Request.min_position());
   if (C.Write) {
     C.Term = E->Term;
     C.RequestId = R.request_id();
     C.IssuedAtMillis = R.issued_at_ms();
   } else {
-    C.MinPosition = fromWire(E->Request.min_position());
     C.Wait = std::chrono::milliseconds(E->Request.wait_ms());
   }
   UpstreamTask Task = E->makeTask(std::move(C));
--- a/packages/proxy/test/fakes-test.cpp
+++ b/packages/proxy/test/fakes-test.cpp
@@ -22,6 +22,10 @@
     R.Result = "did " + It->second.Statement;
     return R;
   }
+  if (lineage(S.Status.History, C.MinPosition) != Lineage::InHistory) {
+    R.Code = UpstreamCode::PositionLost;
+    return R;
+  }
   FakeLogEntry E{{S.Status.History.back().Term, S.Status.Applied.Index + 1},
                  Statement};
   S.Status.Applied = E.At;
--- a/tests/standin/src/database.cpp
+++ b/tests/standin/src/database.cpp
@@ -207,6 +207,9 @@
       findRecordedRequest(Request.request_id(), Request.issued_at_ms(), NowMs,
                           F))
     return F;
+  // A recorded answer is given even if the session's position was lost.
+  if (Code C = holds(Request.min_position()); C != CODE_OK)
+    return frame(C);
   v1::LogEntry Entry;
   v1::Value Content;
   auto ValueOf = [this](const std::string &Key) { return cell(Key).Content; };
--- a/tests/standin/src/upstream.cpp
+++ b/tests/standin/src/upstream.cpp
@@ -274,7 +274,9 @@
 }
 
 ServerFrame Server::execute(const Execute &Request, Session &S) {
-  if (Request.min_position().index() > 0) {
+  // A write checks its position itself, after the search for a recorded answer.
+  bool Reads = S.OpenTransaction || !Request.write();
+  if (Reads && Request.min_position().index() > 0) {
     std::unique_lock Lock(Mutex);
     Changed.wait_for(Lock, milliseconds(Request.wait_ms()), [&] {
       return Db.holds(Request.min_position()) != CODE_BEHIND;
--- a/tests/standin/test/database-test.cpp
+++ b/tests/standin/test/database-test.cpp
@@ -184,6 +184,31 @@
   CHECK(Db.confirm(3, at(2, 3)).code() == CODE_POSITION_LOST);
 }
 
+// Guards against a write that runs although the promotion lost the position
+// that its session has seen, and against a retry that is refused for that
+// reason although the answer of its first run is recorded.
+TEST_CASE("a write whose minimum position was lost does not run") {
+  Database Db("a");
+  elect(Db, 1);
+  write(Db, 1, "a", "id");
+  elect(Db, 2);
+  Execute E;
+  E.set_write(true);
+  E.set_term(2);
+  E.set_statement(append("k", "b"));
+  E.set_request_id("other");
+  E.set_issued_at_ms(1000);
+  *E.mutable_min_position() = at(1, 3);
+  CHECK(Db.write(E, 1000).code() == CODE_POSITION_LOST);
+  CHECK(content(Db) == "a");
+  E.set_request_id("id");
+  CHECK(Db.write(E, 1000).recorded());
+  E.set_request_id("other");
+  *E.mutable_min_position() = at(1, 2);
+  CHECK(Db.write(E, 1000).code() == CODE_OK);
+  CHECK(content(Db) == "ab");
+}
+
 // Guards against a history that names terms of which the promoted log has no
 // entry.
 TEST_CASE("a lagging replica that is promoted drops terms it has not "
