A write that may have run is not refused as not run

Cause: the router kept only the answer to the last attempt. If an earlier attempt had run without a confirmation and no upstream was left for the next one, the caller was told "not run" although the write was in the log.

Change: the answer to an attempt that may have run is kept and given in place of a later refusal.

--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -401,6 +401,8 @@
   Context.HasRequestId = !C->Request.request_id().empty();
   Context.Remaining = C->Deadline - P->now() - Delay;
   Context.ExpectedAttempt = DefaultAttemptTime;
+  if (C->write() && LastOutcome == AttemptOutcome::NoAnswer)
+    C->MayHaveRun = Otherwise;
   bool Sent = LastOutcome != AttemptOutcome::NotSent;
   // A non-idempotent request is sent to an owner at most once, whatever the
   // answer.
@@ -584,6 +586,8 @@
 }
 
 void RequestRouter::finish(const PendingRequestRef &C, RunAnswer Answer) {
+  if (C->MayHaveRun && Answer.outcome() == OUTCOME_REFUSED_NOT_RUN)
+    Answer = std::move(*C->MayHaveRun);
   Answer.set_request_id(C->Request.request_id());
   if (Answer.reason() == REASON_BAD_TOKEN)
     Answer.set_token(C->Request.token());
--- a/packages/proxy/src/requestrouter.h
+++ b/packages/proxy/src/requestrouter.h
@@ -36,6 +36,10 @@
   /// Status reports of other owners were already requested for this request.
   bool StatusPulled = false;
   unsigned Attempts = 0;
+  /// Answer to an attempt of a write that may have run. A refusal of a later
+  /// attempt would claim that the request did not run, so this answer is given
+  /// instead.
+  std::optional<caller::v1::RunAnswer> MayHaveRun;
 
   bool write() const { return Request.access() == caller::v1::ACCESS_WRITE; }
   bool begin() const { return Request.step() == caller::v1::STEP_BEGIN; }
--- a/packages/proxy/test/datapath-test.cpp
+++ b/packages/proxy/test/datapath-test.cpp
@@ -142,6 +142,25 @@
   CHECK(F.upstream("a").executed("w1") == 1);
 }
 
+// Guards against "not run" for a write of which an earlier attempt ran but was
+// not confirmed, when no upstream is left for the next attempt.
+TEST_CASE("a write that may have run is not refused as not run") {
+  DataPathFixture F;
+  F.upstream("b").Status.RaisedTerm = 2;
+  F.upstream("c").Status.RaisedTerm = 2;
+  RunRequest R = F.write("w1");
+  R.set_non_idempotent(false);
+  auto Answer = F.start("p1", R);
+  F.advance(milliseconds(15));
+  REQUIRE(F.upstream("a").logged("w1") == 1);
+  REQUIRE(!Answer->has_value());
+  F.State->Groups["db"] = {2, "", {{1, 0}}};
+  F.publish();
+  F.advance(milliseconds(1000));
+  REQUIRE(Answer->has_value());
+  expect(**Answer, OUTCOME_UNKNOWN, REASON_NOT_CONFIRMED);
+}
+
 // Guards against resending a write that another proxy may have received, and
 // against failing a write that was never sent instead of retrying it.
 TEST_CASE("a forwarded write is resent only if it was not sent") {
