--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -25,10 +25,6 @@
 /// timeout) before the timeout of this proxy, so that the answer of the owner
 /// arrives in time.
 constexpr Duration MaxAnswerMargin = milliseconds(10);
-/// How long routing waits for requested status reports. Reports that arrive
-/// later, within StatusPullTimeout, are still recorded.
-constexpr Duration StatusPullWait = milliseconds(30);
-constexpr Duration StatusPullTimeout = milliseconds(250);
 /// Status reports are requested before routing if no upstream besides the
 /// primary was observed within this time and the request may be answered by a
 /// replica, or no group record is known.
@@ -53,6 +49,7 @@
 RequestRouter::RequestRouter(DataPathStateRef Shared,
                              std::shared_ptr<StatementExecutor> Executor)
     : P(std::move(Shared)), Executor(std::move(Executor)),
+      Reports(std::make_shared<StatusReports>(P)),
       Budget(makeRetryBudget(P->Context.Options.RetryBudgetPercent)) {}
 
 void RequestRouter::run(const RunRequest &Request, AnswerHandler Done) {
@@ -163,7 +160,7 @@
   if (!C->StatusPulled && NeedsStatus &&
       !P->Observed.observedOtherSince(*D, Primary, Since)) {
     C->StatusPulled = true;
-    pullStatus(*S, *D, [Self = shared_from_this(), C] { Self->route(C); });
+    Reports->pull(*S, *D, [Self = shared_from_this(), C] { Self->route(C); });
     return;
   }
   if (auto R = choose(C, *S, *D))
@@ -203,11 +200,11 @@
       !Request.Write && Request.StalenessBound > Duration::zero() &&
       Snapshot != Snapshots.end() && Snapshot->UpstreamRole == Role::Primary;
   if (FallsBackToPrimary && !std::exchange(C->StatusPulled, true) &&
-      mayPullStatus(D)) {
+      Reports->mayPull(D)) {
     // The read would go to the primary although its bound allows replicas. The
     // reports about replicas of other owners may just be too old to use them,
     // so new reports are requested first.
-    pullStatus(S, D, [Self = shared_from_this(), C] { Self->route(C); });
+    Reports->pull(S, D, [Self = shared_from_this(), C] { Self->route(C); });
     return std::nullopt;
   }
   if (refuseEarly(C, R, S, Snapshots))
@@ -317,7 +314,7 @@
           true, Duration::zero());
     return;
   }
-  observeAnswer(C->Request.database(), F);
+  Reports->observeAnswer(C->Request.database(), F);
   const RunAnswer &A = F.answer();
   switch (A.outcome()) {
   case OUTCOME_OK:
@@ -478,7 +475,7 @@
                       "the proxy of the transaction did not answer"));
     return;
   }
-  observeAnswer(C->Request.database(), F);
+  Reports->observeAnswer(C->Request.database(), F);
   if (F.answer().outcome() == OUTCOME_OK && C->Request.step() == STEP_COMMIT)
     advanceSession(*C, F);
   finish(C, F.answer());
@@ -500,91 +497,6 @@
       });
 }
 
-bool RequestRouter::mayPullStatus(const Database &D) {
-  std::lock_guard<std::mutex> Lock(Mutex);
-  auto It = StatusPulledAt.find(D.Name);
-  return It == StatusPulledAt.end() ||
-         P->now() - It->second >= P->Context.Options.ProbeInterval;
-}
-
-void RequestRouter::pullStatus(const Snapshot &S, const Database &D,
-                               std::function<void()> Done) {
-  std::set<std::string> Addresses;
-  for (const Upstream &U : D.Upstreams)
-    if (auto It = S.Owners.find(U.Id);
-        It != S.Owners.end() && !It->second.Address.empty() &&
-        It->second.Owner != P->Context.Options.Id)
-      Addresses.insert(It->second.Address);
-  bool PulledRecently = !mayPullStatus(D);
-  // Runs Done once: after the last report or after StatusPullWait.
-  struct StatusPull {
-    std::atomic<std::size_t> Left = 0;
-    std::atomic<bool> Continued = false;
-    std::function<void()> Done;
-    void proceed() {
-      if (!Continued.exchange(true) && Done)
-        Done();
-    }
-  };
-  auto State = std::make_shared<StatusPull>();
-  State->Done = std::move(Done);
-  if (Addresses.empty()) {
-    State->proceed();
-    return;
-  }
-  if (State->Done)
-    P->timers().after(StatusPullWait, [State] { State->proceed(); });
-  // Reports were requested recently, so this request only waits in case they
-  // still arrive.
-  if (PulledRecently)
-    return;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    StatusPulledAt[D.Name] = P->now();
-  }
-  State->Left = Addresses.size();
-  peer::v1::PeerMessage M;
-  M.mutable_status_pull()->set_database(D.Name);
-  for (const std::string &Address : Addresses)
-    P->Context.Peers->request(
-        Address, M, StatusPullTimeout,
-        [Self = shared_from_this(), State,
-         Name = D.Name](PeerCode Code, const peer::v1::PeerMessage &Answer) {
-          if (Code == PeerCode::Ok)
-            for (const auto &U : Answer.status_report().upstreams())
-              Self->observeReport(Name, U);
-          if (--State->Left == 0)
-            State->proceed();
-        });
-}
-
-void RequestRouter::observeReport(const std::string &Database,
-                                  const peer::v1::ObservedUpstream &U) {
-  Instant Now = P->now();
-  UpstreamStatus Status = fromWire(U.status());
-  P->Observed.observe(Database, Status, fromMicros(U.staleness_us()), Now);
-  P->Observed.setSuspected(U.upstream(), U.suspected());
-  QueueHint Hint;
-  Hint.At = Now;
-  for (int I = 0; I < U.queue_wait_us_size() && I < int(PriorityCount); ++I)
-    Hint.Wait[static_cast<std::size_t>(I)] = fromMicros(U.queue_wait_us(I));
-  P->Observed.observeQueue(U.upstream(), Hint);
-}
-
-void RequestRouter::observeAnswer(const std::string &Database,
-                                  const peer::v1::ForwardAnswer &F) {
-  Instant Now = P->now();
-  UpstreamStatus Status = fromWire(F.status());
-  if (Status.Id.empty())
-    return;
-  P->Observed.observe(Database, Status, fromMicros(F.staleness_us()), Now);
-  QueueHint Hint;
-  Hint.At = Now;
-  for (int I = 0; I < F.queue_wait_us_size() && I < int(PriorityCount); ++I)
-    Hint.Wait[static_cast<std::size_t>(I)] = fromMicros(F.queue_wait_us(I));
-  P->Observed.observeQueue(Status.Id, Hint);
-}
-
 void RequestRouter::finish(const PendingRequestRef &C, RunAnswer Answer) {
   if (C->MayHaveRun && Answer.outcome() == OUTCOME_REFUSED_NOT_RUN)
     Answer = std::move(*C->MayHaveRun);
--- a/packages/proxy/src/requestrouter.h
+++ b/packages/proxy/src/requestrouter.h
@@ -9,6 +9,7 @@
 #include "kernel/retry.h"
 #include "kernel/token.h"
 #include "statementexecutor.h"
+#include "statusreports.h"
 #include "wirestatus.h"
 
 namespace eelgrassloom::detail {
@@ -103,30 +104,14 @@
 
   void send(const std::string &Address, peer::v1::Forward F, Duration Timeout,
             PeerDone Done);
-  /// True unless status reports for the database were requested within the
-  /// last probe interval.
-  bool mayPullStatus(const Database &D);
-  /// Requests status reports from the other owners of upstreams of a database,
-  /// unless that was done within the last probe interval. \p Done runs once:
-  /// after the last report, after StatusPullWait, or immediately if there is no
-  /// other owner.
-  void pullStatus(const Snapshot &S, const Database &D,
-                  std::function<void()> Done);
-  /// Records the upstream status and the queue waits that an owner sent with an
-  /// answer or in a status report.
-  void observeAnswer(const std::string &Database,
-                     const peer::v1::ForwardAnswer &F);
-  void observeReport(const std::string &Database,
-                     const peer::v1::ObservedUpstream &U);
   void finish(const PendingRequestRef &C, caller::v1::RunAnswer Answer);
 
   const DataPathStateRef P;
   const std::shared_ptr<StatementExecutor> Executor;
+  const std::shared_ptr<StatusReports> Reports;
   std::atomic<std::size_t> Running = 0;
   std::mutex Mutex;
   RetryBudget Budget;
-  /// When status reports were last requested, by database.
-  std::map<std::string, Instant, std::less<>> StatusPulledAt;
 };
 
 } // namespace eelgrassloom::detail
