Soak: a stopping proxy must answer what callers send, with owners as well

Cause of the gap: the soak's orderly stops had no owners (5 proxies, 4 slots), and its check counted only requests that a server had received.

Change: LOST counts each request that a caller has sent on a connection which a stopping proxy ends without an answer, and tells when it was sent and cut after SIGTERM, and which proxy had passed it on. Servers have 2 slots during stops, and from 8 proxies on these are spread over four failure domains, so that statements are forwarded to owners.

The check is stricter than before; none is removed.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -97,10 +97,9 @@
 
 void Caller::handleDisconnect() {
   Timer.cancel();
-  if (Pending && TestOracle.StoppingPorts.count(Port) != 0 &&
-      TestOracle.Received.count(Pending->Id) != 0)
-    TestOracle.Violations.push_back(
-        {"LOST", Pending->Id + " at a proxy that was told to stop", 0});
+  auto Stop = TestOracle.StopRequestedAt.find(Port);
+  if (Pending && Stop != TestOracle.StopRequestedAt.end())
+    recordLoss(*Pending, Stop->second);
   if (Pending && Pending->Commits)
     ++TestOracle.Unknown;
   Pending.reset();
@@ -162,6 +161,7 @@
     TestOracle.Writes[Pending->Value];
     UncommittedValues.push_back(Pending->Value);
   }
+  SentAt = now();
   Output = "QUERY " + Pending->Id + " " + Pending->Text + "\r\n";
   error_code Ignored; // A broken socket also fails the caller's read.
   platform::asio::write(Socket, platform::asio::buffer(Output), Ignored);
@@ -220,6 +220,18 @@
   OwnCommits.push_back(Commit->second);
 }
 
+void Caller::recordLoss(const Request &R, Instant StopRequestedAt) {
+  auto Sender = TestOracle.Received.find(R.Id);
+  std::string Text = R.Id + " '" + R.Text + "' at port " +
+                     std::to_string(Port) + ", sent " +
+                     std::to_string(toMillis(SentAt - StopRequestedAt)) +
+                     " ms after SIGTERM, closed " +
+                     std::to_string(toMillis(now() - StopRequestedAt)) + " ms";
+  if (Sender != TestOracle.Received.end())
+    Text += ", a server had it from " + Sender->second;
+  TestOracle.Violations.push_back({"LOST", Text, 0});
+}
+
 void Caller::recordFailure(const Request &R, const ServerReply &Reply) {
   if (!isDefiniteFailure(*Reply.Error)) {
     ++TestOracle.Unknown;
--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -42,7 +42,8 @@
   }
 }
 
-/// Stops the proxy \p Next, and the one after it a little later.
+/// Stops the proxy \p Next, and the one after it a little later. More signals
+/// may follow while it stops.
 void Soak::stopProxies(std::size_t Next) {
   if (!FaultsEnabled)
     return;
@@ -50,6 +51,12 @@
   logEvent("terminate " + P.Settings.substr(P.Settings.size() - 7));
   signalProxy(P, SIGTERM);
   P.HealthySince = Instant::max();
+  if (Random() % 2 == 0)
+    runAfter(Loop, std::chrono::milliseconds(Random() % 3000),
+             [this, &P, Id = P.Pid] {
+               if (P.Pid == Id)
+                 signalProxy(P, Random() % 2 == 0 ? SIGTERM : SIGHUP);
+             });
   runAfter(Loop, StopInterval, [this, Next] { stopProxies(Next + 1); });
 }
 
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -84,7 +84,7 @@
       Input.erase(0, End + 2);
       auto W = splitWords(Line);
       if (W.size() > 2 && W[0] == "QUERY")
-        Parent->TestOracle.Received.insert(W[1]);
+        Parent->TestOracle.Received[W[1]] = ClientName;
       runAfter(Parent->Loop, Parent->StatementTime,
                [Self = shared_from_this(), Line] {
                  if (Self->Parent->Up && Self->Socket.is_open())
@@ -117,6 +117,7 @@
   void run(const std::string &Line) {
     auto W = splitWords(Line);
     if (W.size() >= 4 && W[0] == "START") {
+      ClientName = W[2];
       if (W[3] != Parent->Id)
         send("ERR WRONGNODE -\r\n");
       else
@@ -260,6 +261,8 @@
   tcp::socket Socket;
   std::array<char, 4096> Buffer{};
   std::string Input;
+  /// Name of the proxy, from its START.
+  std::string ClientName;
   /// Session setting that SET has stored.
   std::string SessionValue;
   /// Verb of each prepared statement, by its name.
@@ -320,7 +323,7 @@
 std::string Server::entry() const {
   std::ostringstream Out;
   Out << R"({"service":"svc","addr":"127.0.0.1:)" << Port
-      << R"(","zone":"z","version":"v1","slots":4,"state":")"
+      << R"(","zone":"z","version":"v1","slots":)" << Slots << R"(,"state":")"
       << (Draining ? "draining" : "ready") << R"(","coldLeftMs":0,"dbRole":")"
       << (IsPrimary ? "primary" : "replica") << R"(","seq":1})";
   return Out.str();
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -36,6 +36,11 @@
 /// Time that a request takes at a server during orderly stops: long, so that a
 /// stop finds requests in progress.
 constexpr Duration SlowStatementTime = 100ms;
+/// Slots of a server during orderly stops: so few that owners run the
+/// statements of six proxies or more.
+constexpr unsigned FewSlots = 2;
+/// Failure domains of the proxies during orderly stops.
+constexpr std::size_t FailureDomains = 4;
 
 } // namespace
 
@@ -116,6 +121,14 @@
          0});
 }
 
+/// Proxies that stop in turn are spread over several failure domains if they
+/// are many, so that each of these has an owner and proxies that forward to it.
+std::string Soak::failureDomain(std::size_t Index) const {
+  if (Injected != InjectedFault::Stops || Proxies.size() < 2 * FailureDomains)
+    return "z";
+  return "z" + std::to_string(Index % FailureDomains);
+}
+
 void Soak::prepare() {
   publishConfig();
   for (std::size_t I = 0; I < Proxies.size(); ++I) {
@@ -126,8 +139,9 @@
     P.Settings = Directory / ("p" + std::to_string(I) + ".conf");
     P.Log = Directory / ("p" + std::to_string(I) + ".log");
     std::ofstream(P.Settings)
-        << "node=p" << I << "\nzone=z\nip=127.0.0.1\nlisten.front=" << Ip
-        << P.CallerPort << "\nlisten.ready=" << Ip << FreePorts.next()
+        << "node=p" << I << "\nzone=" << failureDomain(I)
+        << "\nip=127.0.0.1\nlisten.front=" << Ip << P.CallerPort
+        << "\nlisten.ready=" << Ip << FreePorts.next()
         << "\nportRange=" << FreePorts.next()
         << ",0\nplatform.addr=" << StoreAddress
         << "\ncloud.addr=" << StoreAddress
@@ -150,16 +164,16 @@
   }
   posix_spawn_file_actions_destroy(&Actions);
   P.HealthySince = now();
-  TestOracle.StoppingPorts.erase(P.CallerPort);
+  TestOracle.StopRequestedAt.erase(P.CallerPort);
 }
 
 void Soak::signalProxy(Proxy &P, int Signal) {
   if (P.Pid == 0)
     return;
   if (Signal == SIGTERM && P.HealthySince != Instant::max())
-    TestOracle.StoppingPorts.insert(P.CallerPort);
+    TestOracle.StopRequestedAt[P.CallerPort] = now();
   if (Signal == SIGKILL || Signal == SIGSTOP)
-    TestOracle.StoppingPorts.erase(P.CallerPort);
+    TestOracle.StopRequestedAt.erase(P.CallerPort);
   kill(P.Pid, Signal);
 }
 
@@ -210,6 +224,9 @@
 
 int Soak::run(Duration Length) {
   StartedAt = now();
+  if (Injected == InjectedFault::Stops)
+    for (const ServerRef &S : Group.Members)
+      S->Slots = FewSlots;
   prepare();
   for (Proxy &P : Proxies)
     startProxy(P);
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -47,7 +47,7 @@
   /// - REFUSED: a write that was reported as failed takes effect.
   /// - CONFIG: a proxy applies a change of the configuration too late.
   /// - LOST: a proxy that stops in order ends a connection without an answer
-  ///   to a request that it has sent to a server.
+  ///   to a request that the caller has sent on it.
   /// - CRASH: a proxy is ended by a signal other than SIGKILL.
   /// - RECOVER: no request succeeds at the end, after all faults have ended.
   std::string Kind;
@@ -92,10 +92,11 @@
   std::unordered_map<std::string, CommitId> CommitOfSignature;
   /// By value.
   std::unordered_map<std::string, WriteOutcome> Writes;
-  /// Ids of the requests that a server has received.
-  std::unordered_set<std::string> Received;
-  /// Caller ports of the proxies that were told to stop and had no fault since.
-  std::set<std::uint16_t> StoppingPorts;
+  /// Requests that a server has received, by id: the proxy that sent them.
+  std::unordered_map<std::string, std::string> Received;
+  /// Proxies that were told to stop and had no fault since, by the port for
+  /// callers: the time of the signal.
+  std::map<std::uint16_t, Instant> StopRequestedAt;
   std::vector<Violation> Violations;
   std::uint64_t NextCommit = 1;
   std::uint64_t NextSignature = 1;
@@ -143,6 +144,8 @@
   bool Up = false;
   bool Draining = false;
   NetworkMode Mode = NetworkMode::Normal;
+  /// Number of requests that it can run at the same time, as its entry states.
+  unsigned Slots = 4;
   /// Time that a request takes.
   Duration StatementTime = std::chrono::milliseconds(4);
   /// Age at which commits of the primary reach this replica.
@@ -315,6 +318,9 @@
   void handleDisconnect();
   void recordSuccess(const Request &R, const ServerReply &Reply);
   void recordFailure(const Request &R, const ServerReply &Reply);
+  /// Records that the proxy, which was told to stop at \p StopRequestedAt, has
+  /// ended the connection without an answer to \p R.
+  void recordLoss(const Request &R, Instant StopRequestedAt);
   std::string newRequestId();
 
   io_context &Loop;
@@ -332,6 +338,8 @@
   std::string Database;
   std::string SessionValue;
   Instant OperationStart;
+  /// When the request in progress was sent.
+  Instant SentAt;
   std::deque<Request> Requests;
   std::optional<Request> Pending;
   /// Values that the operation in progress has written. If one of its requests
