Log a statement whose caller gets no answer

Lines 160 to 165 are written for statements that are answered; one whose connection ends is cancelled without a line. So the logs could not tell whether a proxy, a caller or the network had ended the connection, nor when.

Change: event 167, statement-cut: id, reason, owner, whether it was sent, time since its arrival, statements queued behind it. Each end of a caller's connection has a reason.

Decisions are unchanged.

--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -58,6 +58,7 @@
   TransactionEnded,
   StatementForwarded,
   DatabaseRefused,
+  StatementCut,
   InputRejected,
   LinesDropped,
 };
@@ -71,7 +72,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 43> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 44> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -113,6 +114,7 @@
     {164, "transaction-ended", 40},
     {165, "statement-forwarded", 40},
     {166, "database-refused", 20},
+    {167, "statement-cut", 40},
     {170, "input-rejected", 20},
     {171, "lines-dropped", 1},
 }};
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -21,6 +21,28 @@
 bool isDataStatement(StatementKind K);
 } // namespace detail
 
+/// Why a session ends.
+enum class SessionEnd : std::uint8_t {
+  /// The caller has ended the session or closed its connection.
+  CallerLeft,
+  /// The connection has failed.
+  ConnectionLost,
+  /// The caller does not read its answers.
+  UnreadAnswers,
+  /// The caller was answered with an error after which the connection ends.
+  Refused,
+  /// The proxy needs no session without a statement any more.
+  Idle,
+  /// The process ends.
+  ProxyEnds,
+};
+inline constexpr std::array<std::string_view, 6> SessionEndNames = {
+    "caller-left", "connection-lost", "unread-answers", "refused",
+    "idle",        "proxy-ends"};
+constexpr std::string_view name(SessionEnd E) {
+  return SessionEndNames[static_cast<std::size_t>(E)];
+}
+
 /// Receives the answers to the statements of a session.
 using ReplySink = std::function<void(CallerReply)>;
 
@@ -32,9 +54,10 @@
 
   /// Queues a statement; its answer goes to the ReplySink.
   void submit(Statement S);
-  /// Ends the session because the caller has disconnected: gives up the current
-  /// statement, rolls the transaction back and discards waiting statements.
-  void close();
+  /// Ends the session together with the connection of its caller: gives up the
+  /// current statement, rolls the transaction back and discards waiting
+  /// statements.
+  void close(SessionEnd Reason);
 
   SessionId id() const { return Id; }
   /// No statement is in progress and no transaction is open.
@@ -91,6 +114,8 @@
   /// Logs and counts a statement that the stop has refused or cut short.
   void logStop(StatementOutcome Outcome, std::string_view Statement,
                Duration Age);
+  /// Logs that the current statement gets no answer.
+  void logCut(SessionEnd Reason);
 
   Engine &SessionEngine;
   const SessionId Id;
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -1,5 +1,6 @@
 #include "engine/session.h"
 #include "engine/engine.h"
+#include "engine/forward.h"
 
 namespace eelgrassloom {
 namespace detail {
@@ -345,12 +346,13 @@
   State = TransactionState::Failed;
 }
 
-void Session::close() {
+void Session::close(SessionEnd Reason) {
   if (Closed)
     return;
   Closed = true;
   auto Self = shared_from_this();
   if (Current) {
+    logCut(Reason);
     ServiceGroup->cancel(Current);
     // Cancelling a statement that holds the connection of the transaction ends
     // the transaction as well.
@@ -365,4 +367,18 @@
   SessionEngine.removeSession(*this);
 }
 
+void Session::logCut(SessionEnd Reason) {
+  const std::shared_ptr<PeerConnection> &Owner = Current->ForwardedTo;
+  SessionEngine.events().write(
+      EngineEvent::StatementCut,
+      {{"id", Current->Call.Id},
+       {"session", Id},
+       {"service", Route.Service},
+       {"reason", name(Reason)},
+       {"owner", Owner ? std::string_view(Owner->Peer.Id) : std::string_view()},
+       {"sent", Current->Sent || Owner ? 1 : 0},
+       {"after_ms", SessionEngine.runtime().Now() - Current->Arrived},
+       {"queued", static_cast<std::uint64_t>(Queue.size())}});
+}
+
 } // namespace eelgrassloom
--- a/packages/engine/test/forward-test.cpp
+++ b/packages/engine/test/forward-test.cpp
@@ -123,7 +123,7 @@
 TEST_CASE("the transaction of a caller that disconnects is rolled back at the "
           "owner") {
   ProxyPair P;
-  transaction(P)->close();
+  transaction(P)->close(SessionEnd::CallerLeft);
   P.run();
   CHECK(P.Owner.server("p").count("ROLLBACK") == 1);
   CHECK_FALSE(P.OwnerForwarder->servesPeers());
@@ -139,7 +139,7 @@
   S->submit(write("a"));
   P.Network.run();
   P.Owner.run();
-  S->close();
+  S->close(SessionEnd::CallerLeft);
   P.advance(100ms);
   CHECK_FALSE(P.OwnerForwarder->servesPeers());
 }
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -131,7 +131,7 @@
   S->submit(Begin);
   S->submit(write("a"));
   F.run();
-  S->close();
+  S->close(SessionEnd::CallerLeft);
   F.run();
   CHECK(F.server("p").count("ROLLBACK") == 1);
   CHECK(F.SessionEngine->sessionCount() == 0);
--- a/packages/engine/test/stop-test.cpp
+++ b/packages/engine/test/stop-test.cpp
@@ -168,6 +168,29 @@
   CHECK_FALSE(P.OwnerForwarder->servesPeers());
 }
 
+// Guards against a request without an answer that no log names (incident of
+// 2026-12-06).
+TEST_CASE("a statement that gets no answer is logged with the reason") {
+  ProxyPair P;
+  P.Owner.server("p").Unresponsive = true;
+  auto Forwarded = P.Entry.open("latest");
+  Forwarded->submit(write("a"));
+  Forwarded->submit(write("b"));
+  P.run();
+  P.Entry.Events.take();
+  P.Entry.advance(30ms);
+  Forwarded->close(SessionEnd::ProxyEnds);
+  std::string Lines = P.Entry.Events.take();
+  CHECK(Lines.find("\"name\":\"statement-cut\",\"id\":\"a\"") !=
+        std::string::npos);
+  CHECK(Lines.find("\"reason\":\"proxy-ends\",\"owner\":\"" + P.OwnerId +
+                   "\",\"sent\":1,\"after_ms\":30,\"queued\":1") !=
+        std::string::npos);
+  auto Idle = P.Entry.open("latest");
+  Idle->close(SessionEnd::CallerLeft);
+  CHECK(P.Entry.Events.take().find("statement-cut") == std::string::npos);
+}
+
 TEST_CASE("at the end a forwarded transaction is rolled back at its owner") {
   ProxyPair P;
   auto Caller = P.Entry.open("latest");
