A session of a stopping proxy ends without losing the caller's next request

Callers saw: a request that was sent while a stopping proxy closed the connection got no answer. A write that is cut in this way is not repeated by its caller, who does not know whether it took effect.

Cause: the proxy closed the connection on its own, of a session that it found idle, behind a refusal, and at the end of the stop. What the caller had sent by then, and the proxy not read, was lost. The wait of 50 ms since the last answer only made it rarer.

The soak's callers close a session whose end is announced.

--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -70,6 +70,9 @@
   bool inTransaction() const { return State != TransactionState::None; }
   /// Time of the last answer.
   Instant idleSince() const { return IdleSince; }
+  /// Logs and counts \p S, which is refused because the session has ended
+  /// before it arrived.
+  void recordRefusal(const Statement &S);
   /// Answers the statement in progress with what is known of it, because the
   /// process ends: not run if it was not sent, else an unknown outcome.
   void abandonStatement();
--- a/packages/engine/src/sessionstop.cpp
+++ b/packages/engine/src/sessionstop.cpp
@@ -46,6 +46,11 @@
                                 {"after_ms", Age}});
 }
 
+void Session::recordRefusal(const Statement &S) {
+  resolveRoute();
+  logStop(StatementOutcome::Refused, S.Id, Duration::zero());
+}
+
 void Session::abandonStatement() {
   if (!Current)
     return;
--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -88,6 +88,10 @@
               {"MIXED", "malformed reply", 0});
         for (const ServerReply &Reply : Replies)
           Self->handleReply(Reply);
+        // An error without a request announces the end of the session.
+        error_code Ignored;
+        if (Self->Started && !Self->Pending && Self->Decoder.pendingError())
+          Self->Socket.close(Ignored);
         if (Self->Socket.is_open())
           Self->read();
         else
