The end of a drain timeout answers the requests in progress

When the drain timeout passes, packages/proxy goes on to shut the gRPC server down, which cancels the calls in progress after 2 s: their callers get a transport error instead of an answer. Requests end by their own deadlines, so this needs a deadline beyond the timeout.

Fix: all requests of callers that are in progress then are answered as unknown, with the reason DRAINING. Nothing is sent for them from then on, and a later answer is dropped. Unknown also for a request that was probably not sent: another thread may be sending it.

Tests: proxy stop-test, and with real processes 'a request in progress at the end of the drain is answered' (upstreams that take 8 s, drain timeout 300 ms).

--- a/packages/proxy/include/proxy/datapath.h
+++ b/packages/proxy/include/proxy/datapath.h
@@ -71,6 +71,10 @@
   /// Number of requests and open transactions in progress, including forwarded
   /// ones.
   virtual std::size_t inProgress() const = 0;
+
+  /// Answers all requests of callers that are in progress as unknown, because
+  /// the process ends. Their later answers are dropped.
+  virtual void abandonRequests() = 0;
 };
 
 } // namespace eelgrassloom
--- a/packages/proxy/src/datapath.cpp
+++ b/packages/proxy/src/datapath.cpp
@@ -32,6 +32,7 @@
   std::size_t inProgress() const override {
     return Router->inProgress() + Executor->inProgress();
   }
+  void abandonRequests() override { Router->abandonRequests(); }
 
 private:
   std::shared_ptr<StatementExecutor> Executor;
--- a/packages/proxy/src/process.cpp
+++ b/packages/proxy/src/process.cpp
@@ -150,6 +150,7 @@
     if (P.Time->now() - Start > P.Options.DrainTimeout) {
       LOG(WARNING) << "drain timeout passed with " << P.Path->inProgress()
                    << " requests or transactions in progress";
+      P.Path->abandonRequests();
       return;
     }
     std::this_thread::sleep_for(DrainCheckInterval);
--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -58,6 +58,10 @@
   C->Request = Request;
   C->Done = std::move(Done);
   C->Started = P->now();
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Pending.insert(C);
+  }
   auto S = P->snapshot();
   if (auto Refusal = prepare(*C, *S)) {
     finish(C, std::move(*Refusal));
@@ -135,7 +139,21 @@
   return R;
 }
 
+void RequestRouter::abandonRequests() {
+  std::set<PendingRequestRef> All;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    All = Pending;
+  }
+  // Another thread may be sending the request at this moment, so that it did
+  // not run can't be said of any.
+  for (const PendingRequestRef &C : All)
+    finish(C, unknown(REASON_DRAINING, "the proxy ends before the answer"));
+}
+
 void RequestRouter::route(const PendingRequestRef &C) {
+  if (C->Answered)
+    return;
   auto S = P->snapshot();
   Instant Now = P->now();
   if (Now >= C->Deadline) {
@@ -498,6 +516,12 @@
 }
 
 void RequestRouter::finish(const PendingRequestRef &C, RunAnswer Answer) {
+  if (C->Answered.exchange(true))
+    return;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Pending.erase(C);
+  }
   if (C->MayHaveRun && Answer.outcome() == OUTCOME_REFUSED_NOT_RUN)
     Answer = std::move(*C->MayHaveRun);
   Answer.set_request_id(C->Request.request_id());
--- a/packages/proxy/src/requestrouter.h
+++ b/packages/proxy/src/requestrouter.h
@@ -11,6 +11,7 @@
 #include "statementexecutor.h"
 #include "statusreports.h"
 #include "wirestatus.h"
+#include <set>
 
 namespace eelgrassloom::detail {
 
@@ -41,6 +42,8 @@
   /// attempt would claim that the request did not run, so this answer is given
   /// instead.
   std::optional<caller::v1::RunAnswer> MayHaveRun;
+  /// Set once; nothing is sent for the request from then on.
+  std::atomic<bool> Answered = false;
 
   bool write() const { return Request.access() == caller::v1::ACCESS_WRITE; }
   bool begin() const { return Request.step() == caller::v1::STEP_BEGIN; }
@@ -62,6 +65,8 @@
   void run(const caller::v1::RunRequest &Request, AnswerHandler Done);
   /// Requests of callers that are not answered yet.
   std::size_t inProgress() const { return Running; }
+  /// Answers all requests in progress as unknown, because the process ends.
+  void abandonRequests();
 
 private:
   using PeerDone = std::function<void(PeerCode, peer::v1::ForwardAnswer)>;
@@ -111,6 +116,8 @@
   const std::shared_ptr<StatusReports> Reports;
   std::atomic<std::size_t> Running = 0;
   std::mutex Mutex;
+  /// Requests that are not answered yet.
+  std::set<PendingRequestRef> Pending;
   RetryBudget Budget;
 };
 
--- a/tests/fleet/operations-test.cpp
+++ b/tests/fleet/operations-test.cpp
@@ -1,5 +1,6 @@
 #include "client.h"
 #include "scenario.h"
+#include <csignal>
 #include <doctest/doctest.h>
 #include <future>
 #include <grpcpp/grpcpp.h>
@@ -153,3 +154,25 @@
   REQUIRE(Answer.unreachable_size() == 1);
   CHECK(Answer.unreachable(0) == "p8");
 }
+
+// Guards against requests without an answer: the end of the drain timeout cut
+// the calls that were in progress (incident of 2026-12-06).
+TEST_CASE("a request in progress at the end of the drain is answered") {
+  Topology T = scenarioTopology();
+  T.ProxyFlags.emplace_back("--drain-timeout-ms=300");
+  T.ServiceUs = 8'000'000;
+  Fleet F(T);
+  REQUIRE(F.awaitServing(10s));
+  auto Request = request("db1", "urgent", put("k", "v"));
+  Request.set_deadline_ms(9000);
+  auto Answer = std::async(std::launch::async, [&] {
+    return CallerSession(F.proxyAddress("p1")).run(Request);
+  });
+  std::this_thread::sleep_for(1s);
+  F.signal("p1", SIGTERM);
+  CHECK(F.wait("p1", 6s) == 0);
+  caller::v1::RunAnswer A = Answer.get();
+  CHECK(A.outcome() == caller::v1::OUTCOME_UNKNOWN);
+  CHECK(A.reason() == caller::v1::REASON_DRAINING);
+  CHECK(A.request_id() == Request.request_id());
+}
