--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -71,8 +71,8 @@
   /// Time of the last answer.
   Instant idleSince() const { return IdleSince; }
   /// Logs and counts \p S, which is refused because the session has ended
-  /// before it arrived.
-  void recordRefusal(const Statement &S);
+  /// before it arrived. \p Reason is that of the end.
+  void recordRefusal(const Statement &S, std::string_view Reason);
   /// Answers the statement in progress with what is known of it, because the
   /// process ends: not run if it was not sent, else an unknown outcome.
   void abandonStatement();
@@ -114,9 +114,10 @@
   /// True if the stopping proxy begins no operation with such a statement.
   bool mustRefuse(StatementKind K) const;
   void refuseStopping(const Statement &S);
-  /// Logs and counts a statement that the stop has refused or cut short.
-  void logStop(StatementOutcome Outcome, std::string_view Statement,
-               Duration Age);
+  /// Logs and counts a statement that was refused or cut short because the
+  /// session ends.
+  void logEnd(StatementOutcome Outcome, std::string_view Statement,
+              std::string_view Reason, Duration Age);
   /// Logs that the current statement gets no answer.
   void logCut(SessionEnd Reason);
 
--- a/packages/engine/src/sessionstop.cpp
+++ b/packages/engine/src/sessionstop.cpp
@@ -26,14 +26,15 @@
     return;
   }
   RefusedByStop = true;
-  logStop(StatementOutcome::Refused, S.Id, Duration::zero());
+  logEnd(StatementOutcome::Refused, S.Id, detail::StoppingReason,
+         Duration::zero());
   answerError(ReplyCode::Busy,
               std::string(detail::StoppingReason) + "; retry after " +
                   std::to_string(toMillis(detail::StopRetryHint)) + " ms");
 }
 
-void Session::logStop(StatementOutcome Outcome, std::string_view Statement,
-                      Duration Age) {
+void Session::logEnd(StatementOutcome Outcome, std::string_view Statement,
+                     std::string_view Reason, Duration Age) {
   SessionEngine.counters().recordStatement(Route.WorkPriority, Outcome, Age);
   SessionEngine.events().write(Outcome == StatementOutcome::Unknown
                                    ? EngineEvent::StatementUnknown
@@ -42,13 +43,13 @@
                                 {"session", Id},
                                 {"service", Route.Service},
                                 {"rank", name(Route.WorkPriority)},
-                                {"reason", detail::StoppingReason},
+                                {"reason", Reason},
                                 {"after_ms", Age}});
 }
 
-void Session::recordRefusal(const Statement &S) {
+void Session::recordRefusal(const Statement &S, std::string_view Reason) {
   resolveRoute();
-  logStop(StatementOutcome::Refused, S.Id, Duration::zero());
+  logEnd(StatementOutcome::Refused, S.Id, Reason, Duration::zero());
 }
 
 void Session::abandonStatement() {
@@ -60,8 +61,9 @@
   // nothing that was not sent is sent later.
   bool MayHaveRun = J->Sent || J->ForwardedTo != nullptr;
   ServiceGroup->cancel(J);
-  logStop(MayHaveRun ? StatementOutcome::Unknown : StatementOutcome::Refused,
-          J->Call.Id, SessionEngine.runtime().Now() - J->Arrived);
+  logEnd(MayHaveRun ? StatementOutcome::Unknown : StatementOutcome::Refused,
+         J->Call.Id, detail::StoppingReason,
+         SessionEngine.runtime().Now() - J->Arrived);
   JobResult Result;
   Result.Reply.NoAnswer = MayHaveRun;
   if (!MayHaveRun) {
