Requests that are abandoned at the end are answered from fields that do not change

Found by the review of the fix, by reading: abandonRequests() ran beside the threads of the requests and read the session token, the upstream and an earlier answer while those change them.

Cause: the flag that a request is answered guards its handler only.

Fix: the answer is made of the request alone: its id, its token as the caller sent it, its transaction. A request is listed only after it was validated, when its class and its start no longer change.

No run has shown the race; the tests call it from one thread.

--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -58,15 +58,15 @@
   C->Request = Request;
   C->Done = std::move(Done);
   C->Started = P->now();
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Pending.insert(C);
-  }
   auto S = P->snapshot();
   if (auto Refusal = prepare(*C, *S)) {
     finish(C, std::move(*Refusal));
     return;
   }
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Pending.insert(C);
+  }
   if (!Request.transaction().empty()) {
     step(C, *S);
     return;
@@ -145,10 +145,22 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     All = Pending;
   }
-  // Another thread may be sending the request at this moment, so that it did
-  // not run can't be said of any.
-  for (const PendingRequestRef &C : All)
-    finish(C, unknown(REASON_DRAINING, "the proxy ends before the answer"));
+  for (const PendingRequestRef &C : All) {
+    if (C->Answered.exchange(true))
+      continue;
+    // Another thread may be routing or sending the request: only fields that no
+    // longer change are read, and that it did not run can't be said.
+    RunAnswer Answer =
+        unknown(REASON_DRAINING, "the proxy ends before the answer");
+    Answer.set_request_id(C->Request.request_id());
+    Answer.set_token(C->Request.token());
+    Answer.set_transaction(C->Request.transaction());
+    P->Context.Events->record(
+        events::RequestUnknown,
+        {C->Request.database(), "", C->Request.request_id(), "", ""},
+        reasonName(Answer.reason()) + ": " + Answer.message());
+    deliver(C, std::move(Answer));
+  }
 }
 
 void RequestRouter::route(const PendingRequestRef &C) {
@@ -518,10 +530,6 @@
 void RequestRouter::finish(const PendingRequestRef &C, RunAnswer Answer) {
   if (C->Answered.exchange(true))
     return;
-  {
-    std::lock_guard<std::mutex> Lock(Mutex);
-    Pending.erase(C);
-  }
   if (C->MayHaveRun && Answer.outcome() == OUTCOME_REFUSED_NOT_RUN)
     Answer = std::move(*C->MayHaveRun);
   Answer.set_request_id(C->Request.request_id());
@@ -539,6 +547,14 @@
     P->Context.Events->record(events::RequestUnknown, C->subject(),
                               reasonName(Answer.reason()) + ": " +
                                   Answer.message());
+  deliver(C, std::move(Answer));
+}
+
+void RequestRouter::deliver(const PendingRequestRef &C, RunAnswer Answer) {
+  {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Pending.erase(C);
+  }
   ProxyMetrics &M = *P->Context.Meters;
   M.requests(C->WorkPriority, outcomeName(Answer.outcome())).Increment();
   M.latency(C->WorkPriority)
--- a/packages/proxy/src/requestrouter.h
+++ b/packages/proxy/src/requestrouter.h
@@ -42,7 +42,7 @@
   /// attempt would claim that the request did not run, so this answer is given
   /// instead.
   std::optional<caller::v1::RunAnswer> MayHaveRun;
-  /// Set once; nothing is sent for the request from then on.
+  /// Set once. Results of attempts in progress are dropped from then on.
   std::atomic<bool> Answered = false;
 
   bool write() const { return Request.access() == caller::v1::ACCESS_WRITE; }
@@ -110,13 +110,16 @@
   void send(const std::string &Address, peer::v1::Forward F, Duration Timeout,
             PeerDone Done);
   void finish(const PendingRequestRef &C, caller::v1::RunAnswer Answer);
+  /// Passes the complete answer to the caller and counts it. Called once for a
+  /// request.
+  void deliver(const PendingRequestRef &C, caller::v1::RunAnswer Answer);
 
   const DataPathStateRef P;
   const std::shared_ptr<StatementExecutor> Executor;
   const std::shared_ptr<StatusReports> Reports;
   std::atomic<std::size_t> Running = 0;
   std::mutex Mutex;
-  /// Requests that are not answered yet.
+  /// Requests that were accepted and are not answered yet.
   std::set<PendingRequestRef> Pending;
   RetryBudget Budget;
 };
