An announced end: no answer is cut, no session is kept for ever, the stop ends in a later tick

Fix: the connection is closed only when everything is written, and 3 s after the first announcement at the latest otherwise. The stop ends in a tick that began without a listener. The reason of such a close is 'close-overdue'.

Tests: 'a caller that goes on after the end of its session is disconnected' fails before (20 requests instead of 10); 'a caller that stays after a refusal is disconnected' is new and held before, as the check that it replaces. The unwritten answer and the last tick have no test.

--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -31,14 +31,15 @@
   UnreadAnswers,
   /// The caller was answered with an error after which the connection ends.
   Refused,
-  /// The proxy needs no session without a statement any more.
-  Idle,
+  /// The caller has not closed the connection after it was told that the
+  /// session ends.
+  CloseOverdue,
   /// The process ends.
   ProxyEnds,
 };
 inline constexpr std::array<std::string_view, 6> SessionEndNames = {
-    "caller-left", "connection-lost", "unread-answers", "refused",
-    "idle",        "proxy-ends"};
+    "caller-left", "connection-lost", "unread-answers",
+    "refused",     "close-overdue",   "proxy-ends"};
 constexpr std::string_view name(SessionEnd E) {
   return SessionEndNames[static_cast<std::size_t>(E)];
 }
--- a/packages/kernel/include/kernel/shutdown.h
+++ b/packages/kernel/include/kernel/shutdown.h
@@ -18,7 +18,7 @@
 enum class StopPhase : std::uint8_t {
   /// It serves as before: the load balancer still sends new callers.
   Serving,
-  /// Idle sessions are closed.
+  /// Idle sessions are ended.
   ClosingIdle,
   /// Open transactions are rolled back between two statements, and none is
   /// begun.
