Nothing that follows a statement refused at a stop runs

Callers could see: BEGIN, WRITE and COMMIT sent without waiting; BEGIN is refused with the promise that nothing is kept, and the WRITE runs alone and commits. Found by the review, by reading.

Cause: from half of the grace on a stopping proxy refuses BEGIN, but still runs single statements; a statement that was queued behind a refused BEGIN was taken for one.

Fix: statements that were in the queue when one was refused are refused as well.

Test: 'nothing that follows a refused statement runs' fails before: the write is at the server.

--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -149,6 +149,9 @@
   bool Handling = false;
   bool Closed = false;
   bool RefusedByStop = false;
+  /// Statements in the queue that were there when one was refused because the
+  /// proxy stops.
+  std::size_t QueuedAtRefusal = 0;
 };
 
 } // namespace eelgrassloom
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -76,7 +76,14 @@
     FirstTry = firstTry(LastRefused, Arrived);
     LastRefused.reset();
   }
-  if (State == TransactionState::None && mustRefuse(S.Kind)) {
+  // A statement that was queued behind a refused one may belong to the same
+  // operation, of which nothing must be kept.
+  bool FollowsRefusal = QueuedAtRefusal != 0;
+  if (FollowsRefusal)
+    --QueuedAtRefusal;
+  if (State == TransactionState::None &&
+      (mustRefuse(S.Kind) ||
+       (FollowsRefusal && detail::beginsOperation(S.Kind)))) {
     refuseStopping(S);
     return;
   }
--- a/packages/engine/src/sessionstop.cpp
+++ b/packages/engine/src/sessionstop.cpp
@@ -26,6 +26,7 @@
     return;
   }
   RefusedByStop = true;
+  QueuedAtRefusal = Queue.size();
   logEnd(StatementOutcome::Refused, S.Id, detail::StoppingReason,
          Duration::zero());
   answerError(ReplyCode::Busy,
--- a/packages/engine/test/stop-test.cpp
+++ b/packages/engine/test/stop-test.cpp
@@ -53,6 +53,24 @@
         std::string::npos);
 }
 
+// Guards against a write that runs alone after its BEGIN was refused with the
+// promise that nothing of the operation is kept.
+TEST_CASE("nothing that follows a refused statement runs") {
+  EngineFixture F;
+  auto Caller = F.open("latest");
+  Caller->submit(read("x"));
+  for (const Statement &S : {Begin, write("a"), Commit})
+    Caller->submit(S);
+  F.SessionEngine->applyStop(StopPhase::EndingTransactions);
+  F.run();
+  REQUIRE(F.Replies.size() == 4);
+  CHECK_FALSE(F.Replies[0].Error);
+  CHECK(F.Replies[1].Error == ReplyCode::Busy);
+  CHECK(F.Replies[2].Error == ReplyCode::Busy);
+  CHECK(F.Replies[3].Error == ReplyCode::Malformed);
+  CHECK(F.server("p").count("WRITE a x") == 0);
+}
+
 TEST_CASE("a proxy that ends transactions begins none") {
   EngineFixture F;
   auto Open = F.open("latest");
