Soak: an announced end counts as a fault at a proxy that was not told to stop

Cause: the soak's callers took any error without a request at any proxy for the end of the session.

Change: such an error is a violation unless it is BUSY and the proxy was told to stop. 2 slots only with failure domains (8 proxies and more).

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -88,10 +88,8 @@
               {"MIXED", "malformed reply", 0});
         for (const ServerReply &Reply : Replies)
           Self->handleReply(Reply);
-        // An error without a request announces the end of the session.
-        error_code Ignored;
         if (Self->Started && !Self->Pending && Self->Decoder.pendingError())
-          Self->Socket.close(Ignored);
+          Self->handleAnnouncedEnd(*Self->Decoder.pendingError());
         if (Self->Socket.is_open())
           Self->read();
         else
@@ -99,6 +97,15 @@
       });
 }
 
+void Caller::handleAnnouncedEnd(ReplyCode Code) {
+  if (Code != ReplyCode::Busy || TestOracle.ToldToStop.count(Port) == 0)
+    TestOracle.Violations.push_back(
+        {"MIXED", "an error without a request at a proxy that does not stop",
+         0});
+  error_code Ignored;
+  Socket.close(Ignored);
+}
+
 void Caller::handleDisconnect() {
   Timer.cancel();
   auto Stop = TestOracle.StopRequestedAt.find(Port);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -36,8 +36,8 @@
 /// Time that a request takes at a server during orderly stops: long, so that a
 /// stop finds requests in progress.
 constexpr Duration SlowStatementTime = 100ms;
-/// Slots of a server during orderly stops: so few that owners run the
-/// statements of six proxies or more.
+/// Slots of a server during orderly stops of many proxies: so few that owners
+/// run the statements.
 constexpr unsigned FewSlots = 2;
 /// Failure domains of the proxies during orderly stops.
 constexpr std::size_t FailureDomains = 4;
@@ -123,10 +123,13 @@
 
 /// Proxies that stop in turn are spread over several failure domains if they
 /// are many, so that each of these has an owner and proxies that forward to it.
+bool Soak::usesOwners() const {
+  return Injected == InjectedFault::Stops &&
+         Proxies.size() >= 2 * FailureDomains;
+}
+
 std::string Soak::failureDomain(std::size_t Index) const {
-  if (Injected != InjectedFault::Stops || Proxies.size() < 2 * FailureDomains)
-    return "z";
-  return "z" + std::to_string(Index % FailureDomains);
+  return usesOwners() ? "z" + std::to_string(Index % FailureDomains) : "z";
 }
 
 void Soak::prepare() {
@@ -165,11 +168,14 @@
   posix_spawn_file_actions_destroy(&Actions);
   P.HealthySince = now();
   TestOracle.StopRequestedAt.erase(P.CallerPort);
+  TestOracle.ToldToStop.erase(P.CallerPort);
 }
 
 void Soak::signalProxy(Proxy &P, int Signal) {
   if (P.Pid == 0)
     return;
+  if (Signal == SIGTERM)
+    TestOracle.ToldToStop.insert(P.CallerPort);
   if (Signal == SIGTERM && P.HealthySince != Instant::max())
     TestOracle.StopRequestedAt[P.CallerPort] = now();
   if (Signal == SIGKILL || Signal == SIGSTOP)
@@ -224,7 +230,7 @@
 
 int Soak::run(Duration Length) {
   StartedAt = now();
-  if (Injected == InjectedFault::Stops)
+  if (usesOwners())
     for (const ServerRef &S : Group.Members)
       S->Slots = FewSlots;
   prepare();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -53,6 +53,7 @@
   int run(Duration Length);
 
 private:
+  bool usesOwners() const;
   std::string failureDomain(std::size_t Index) const;
   void prepare();
   void startProxy(Proxy &P);
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -97,6 +97,9 @@
   /// Proxies that were told to stop and had no fault since, by the port for
   /// callers: the time of the signal.
   std::map<std::uint16_t, Instant> StopRequestedAt;
+  /// Proxies that were told to stop, also after other faults, by the port for
+  /// callers.
+  std::set<std::uint16_t> ToldToStop;
   std::vector<Violation> Violations;
   std::uint64_t NextCommit = 1;
   std::uint64_t NextSignature = 1;
@@ -315,6 +318,9 @@
   void sendNext();
   void read();
   void handleReply(const ServerReply &Reply);
+  /// Handles an error without a request, which announces the end of the
+  /// session.
+  void handleAnnouncedEnd(ReplyCode Code);
   void handleDisconnect();
   void recordSuccess(const Request &R, const ServerReply &Reply);
   void recordFailure(const Request &R, const ServerReply &Reply);
