--- a/tests/soak/keyvaluestore.cpp
+++ b/tests/soak/keyvaluestore.cpp
@@ -1,6 +1,6 @@
 // The key-value store and the promotion call of the soak, served over HTTP.
 
-#include "standins.h"
+#include "keyvaluestore.h"
 #include "storeclient.h"
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -11,6 +11,8 @@
 
 namespace http = boost::beast::http;
 using nlohmann::json;
+using platform::error_code;
+using platform::tcp;
 using namespace std::chrono_literals;
 
 namespace {
@@ -95,8 +97,8 @@
 
 } // namespace
 
-KeyValueStore::KeyValueStore(io_context &Loop, ServerGroup &Group)
-    : Loop(Loop), Group(Group) {}
+KeyValueStore::KeyValueStore(io_context &Loop, Promotion Promote)
+    : Loop(Loop), Promote(std::move(Promote)) {}
 
 std::uint16_t KeyValueStore::port(std::size_t Proxy) {
   while (Acceptors.size() <= Proxy) {
@@ -210,7 +212,7 @@
     if (Tokens.size() > 1 && Tokens.back() < Tokens[Tokens.size() - 2])
       Problems.push_back("ONE: the fencing token fell to " +
                          std::to_string(Tokens.back()));
-    bool Done = Group.promote(json::parse(Body).at("id").get<std::string>());
+    bool Done = Promote(json::parse(Body).at("id").get<std::string>());
     return {Done ? 200U : 409U, "{}"};
   }
   return {404, Method};
--- a/tests/soak/servers.cpp
+++ b/tests/soak/servers.cpp
@@ -25,16 +25,6 @@
 
 } // namespace
 
-Instant now() { return platform::bootTime(); }
-
-void runAfter(io_context &Loop, Duration D, std::function<void()> Run) {
-  auto Timer = std::make_shared<platform::asio::steady_timer>(Loop, D);
-  Timer->async_wait([Timer, Run = std::move(Run)](error_code Error) {
-    if (!Error)
-      Run();
-  });
-}
-
 std::vector<Violation> Oracle::remainingViolations() const {
   std::vector<Violation> Result;
   for (const Violation &S : Violations)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -41,7 +41,9 @@
   Soak(std::string Program, std::uint64_t Seed, std::size_t Count,
        InjectedFault Injected)
       : Program(std::move(Program)), Seed(Seed), Injected(Injected),
-        Random(Seed), Group(Loop, TestOracle), Store(Loop, Group),
+        Random(Seed), Group(Loop, TestOracle),
+        Store(Loop,
+              [this](const std::string &Id) { return Group.promote(Id); }),
         Proxies(Count) {
     Directory =
         std::filesystem::temp_directory_path() /
--- a/tests/soak/standins.h
+++ b/tests/soak/standins.h
@@ -7,7 +7,8 @@
 #define EELGRASSLOOM_SOAK_STANDINS_H
 
 #include "codec.h"
-#include "net.h"
+#include "keyvaluestore.h"
+#include "timers.h"
 #include <deque>
 #include <map>
 #include <random>
@@ -19,7 +20,6 @@
 
 using platform::error_code;
 using platform::tcp;
-using platform::asio::io_context;
 /// Unique in a run; 0 stands for no commit.
 using CommitId = std::uint64_t;
 
@@ -186,77 +186,6 @@
   Oracle &TestOracle;
 };
 
-/// Fault of the store for all proxies; the promotion call is not affected by
-/// Unresponsive and Busy.
-enum class StoreMode : std::uint8_t {
-  Normal,
-  Unresponsive,
-  Busy,
-  DropResponses,
-  Slow
-};
-
-/// The key-value store and the promotion call. The store has one port for each
-/// proxy, so that single proxies can be partitioned from it.
-class KeyValueStore {
-public:
-  KeyValueStore(io_context &Loop, ServerGroup &Group);
-
-  std::uint16_t port(std::size_t Proxy);
-  void put(const std::string &Key, const std::string &Value);
-  void erase(const std::string &Key);
-  /// Ends expired leases and removes their keys.
-  void expire();
-  /// Handles a request. \p Done gets the HTTP status and the body. If the
-  /// request gets no answer, \p Done is not called or gets status 0.
-  void handle(std::size_t Proxy, const std::string &Method,
-              const std::string &Target, const std::string &Body,
-              std::function<void(unsigned, std::string)> Done);
-
-  /// Stops answering on the proxy's open connections; new ones get answers.
-  void hangConnections(std::size_t Proxy) { ++HangCounts[Proxy]; }
-  /// How often hangConnections was called for the proxy.
-  unsigned hangCount(std::size_t Proxy) { return HangCounts[Proxy]; }
-
-  StoreMode Mode = StoreMode::Normal;
-  /// Proxies whose requests, except promotion calls, the store never answers.
-  std::set<std::size_t> PartitionedProxies;
-  /// Proxies whose requests, except promotion calls, the store refuses at once
-  /// with status 503.
-  std::set<std::size_t> RejectedProxies;
-  /// Fencing tokens in the order in which requests carried them.
-  std::vector<std::uint64_t> Tokens;
-  /// Violations by callers of the promotion call.
-  std::vector<std::string> Problems;
-
-private:
-  struct Item {
-    std::string Value;
-    std::uint64_t Revision = 0;
-    std::uint64_t Created = 0;
-    std::uint64_t LeaseId = 0;
-  };
-  void accept(std::size_t Proxy);
-  std::string itemText(const std::string &Key, const Item &I) const;
-  std::pair<unsigned, std::string> transact(const std::string &Body);
-  std::pair<unsigned, std::string> run(const std::string &Method,
-                                       const std::string &Target,
-                                       const std::string &Body);
-  /// Answers a watch once a key with the prefix has changed after the revision
-  /// \p After, or with no events at \p Until.
-  void watch(const std::string &Prefix, std::uint64_t After, Instant Until,
-             std::function<void(unsigned, std::string)> Done);
-
-  io_context &Loop;
-  ServerGroup &Group;
-  std::vector<std::unique_ptr<tcp::acceptor>> Acceptors;
-  std::map<std::string, Item> Items;
-  std::uint64_t Revision = 10;
-  std::uint64_t NextLease = 1;
-  std::map<std::size_t, unsigned> HangCounts;
-  std::map<std::uint64_t, std::pair<Instant, Duration>> Leases;
-};
-
 /// A database that one version of the configuration adds and a later one
 /// removes.
 struct ProbeRoute {
@@ -358,11 +287,6 @@
   std::uint64_t Count = 0;
 };
 
-/// Time on the boot clock, see platform::bootTime.
-Instant now();
-/// Calls \p Run on the loop after the duration \p D.
-void runAfter(io_context &Loop, Duration D, std::function<void()> Run);
-
 } // namespace eelgrassloom::soak
 
 #endif // EELGRASSLOOM_SOAK_STANDINS_H
