--- a/packages/engine/include/engine/types.h
+++ b/packages/engine/include/engine/types.h
@@ -153,6 +153,9 @@
   /// Text of the server that confirms a success; the caller receives it
   /// unchanged.
   std::string Signature;
+  /// False if the server has sent only the state and the position, with which
+  /// it answers the opening of a connection but no request.
+  bool Result = true;
   /// State of the transaction on the connection.
   TransactionState State = TransactionState::None;
   /// Position of the server's log.
