The proxy numbers the prepared statements of a connection

Back ends saw: EXEC and PREPARE whose words were shifted by the blanks of a shape, so that another name, mode and shape ran; a PREPARE of 2 MiB for a shape of 1 MiB, because the shape stood in it twice.

Cause: the name of a prepared statement at a server was the shape of the caller behind r_ or w_. A name ends at a blank, a shape extends to the end of the line.

Change: names a to z, a1 to z1 and so on, in the order in which the connection prepares; the connection knows which statement has which name. The shapes that one connection keeps are limited to 1 MiB together. The test of two sessions named the old names; it now requires both PREPARE and both EXEC.

--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -138,7 +138,7 @@
   ServerCall Call = J.Call;
   if (J.Prepared) {
     Call.Command = ServerCommand::Execute;
-    Call.Name = serverStatementName(*J.Prepared);
+    Call.Name = A->Connection->State.Prepared.at(*J.Prepared);
   }
   if (J.Kind == JobKind::Autocommit && !J.Write)
     Call.MinPosition = A->MinPosition;
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -77,8 +77,10 @@
   F.run();
   B->submit(execute("n", "k"));
   F.run();
-  CHECK(F.server("p").count("EXEC r_one k") == 1);
-  CHECK(F.server("p").count("EXEC r_two k") == 1);
+  CHECK(F.server("p").count("PREPARE a READ one") == 1);
+  CHECK(F.server("p").count("EXEC a k") == 1);
+  CHECK(F.server("p").count("PREPARE b READ two") == 1);
+  CHECK(F.server("p").count("EXEC b k") == 1);
   B->submit(execute("unknown", "k"));
   F.run();
   CHECK(F.last().Error == ReplyCode::NoStatement);
--- a/packages/kernel/include/kernel/sessionstate.h
+++ b/packages/kernel/include/kernel/sessionstate.h
@@ -5,9 +5,10 @@
 #ifndef EELGRASSLOOM_KERNEL_SESSIONSTATE_H
 #define EELGRASSLOOM_KERNEL_SESSIONSTATE_H
 
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -20,7 +21,7 @@
   /// receive unchanged.
   std::string Shape;
 
-  bool operator==(const PreparedStatement &) const = default;
+  auto operator<=>(const PreparedStatement &) const = default;
 };
 
 /// Variables that a caller has set and statements that it has prepared. They
@@ -34,8 +35,11 @@
 /// Variables and prepared statements that exist on a pooled connection.
 struct ConnectionState {
   std::map<std::string, std::string, std::less<>> Variables;
-  /// Statement names at the server, see serverStatementName().
-  std::set<std::string, std::less<>> Prepared;
+  /// Names at the server. The proxy numbers the statements of a connection: a
+  /// name that held text of a caller could hold a blank, which ends a name.
+  std::map<PreparedStatement, std::string> Prepared;
+  /// Total length of the shapes of these statements.
+  std::size_t ShapeBytes = 0;
 };
 
 enum class SetupKind : std::uint8_t { Reset, Set, Prepare };
@@ -51,13 +55,12 @@
   bool operator==(const SetupStep &) const = default;
 };
 
-/// Name of a prepared statement at the servers. It depends only on the
-/// statement, so that sessions that prepare the same statement share it.
-std::string serverStatementName(const PreparedStatement &P);
-
 /// Number of prepared statements after which a connection is reset before
 /// another one is prepared.
 inline constexpr std::size_t MaxPreparedPerConnection = 200;
+/// The same for the total length of their shapes in bytes. A single shape may
+/// be longer.
+inline constexpr std::size_t MaxShapeBytesPerConnection = std::size_t{1} << 20;
 
 /// Steps after which the connection has exactly the variables of the session
 /// and, if \p Needed is not null, that prepared statement.
--- a/packages/kernel/src/sessionstate.cpp
+++ b/packages/kernel/src/sessionstate.cpp
@@ -3,31 +3,42 @@
 namespace eelgrassloom {
 namespace detail {
 
+/// Number of letters with which statement names begin.
+constexpr std::size_t Letters = 26;
+
+/// Name of the statement that is prepared as number \p Index of its connection:
+/// a to z, a1 to z1 and so on. Short, because a statement of nearly the maximum
+/// message size must still fit with the name.
+std::string statementName(std::size_t Index) {
+  std::string Name(1, static_cast<char>('a' + Index % Letters));
+  return Index < Letters ? Name : Name + std::to_string(Index / Letters);
+}
+
+bool hasRoom(const ConnectionState &C, const PreparedStatement &Added) {
+  return C.Prepared.empty() ||
+         (C.Prepared.size() < MaxPreparedPerConnection &&
+          C.ShapeBytes + Added.Shape.size() <= MaxShapeBytesPerConnection);
+}
+
 /// True if the connection has a variable that the session has not, or no room
 /// for another prepared statement. Only a reset removes variables and
 /// statements.
 bool needsReset(const ConnectionState &C, const SessionState &S,
-                const std::string *NewName) {
+                const PreparedStatement *Needed) {
   for (const auto &Entry : C.Variables)
     if (S.Variables.find(Entry.first) == S.Variables.end())
       return true;
-  return NewName != nullptr && C.Prepared.size() >= MaxPreparedPerConnection &&
-         C.Prepared.find(*NewName) == C.Prepared.end();
+  return Needed != nullptr && C.Prepared.count(*Needed) == 0 &&
+         !hasRoom(C, *Needed);
 }
 
 } // namespace detail
 
-std::string serverStatementName(const PreparedStatement &P) {
-  return (P.Write ? "w_" : "r_") + P.Shape;
-}
-
 std::vector<SetupStep> setupSteps(const ConnectionState &C,
                                   const SessionState &S,
                                   const PreparedStatement *Needed) {
   std::vector<SetupStep> Steps;
-  std::string Name =
-      Needed != nullptr ? serverStatementName(*Needed) : std::string();
-  bool Reset = detail::needsReset(C, S, Needed != nullptr ? &Name : nullptr);
+  bool Reset = detail::needsReset(C, S, Needed);
   if (Reset)
     Steps.push_back({SetupKind::Reset, {}, {}, {}});
   for (const auto &[Key, Value] : S.Variables) {
@@ -35,8 +46,11 @@
     if (Reset || It == C.Variables.end() || It->second != Value)
       Steps.push_back({SetupKind::Set, Key, Value, {}});
   }
-  if (Needed != nullptr && (Reset || C.Prepared.count(Name) == 0))
-    Steps.push_back({SetupKind::Prepare, Name, {}, *Needed});
+  if (Needed != nullptr && (Reset || C.Prepared.count(*Needed) == 0))
+    Steps.push_back({SetupKind::Prepare,
+                     detail::statementName(Reset ? 0 : C.Prepared.size()),
+                     {},
+                     *Needed});
   return Steps;
 }
 
@@ -49,7 +63,8 @@
     C.Variables[Step.Name] = Step.Value;
     break;
   case SetupKind::Prepare:
-    C.Prepared.insert(Step.Name);
+    C.Prepared[Step.Prepared] = Step.Name;
+    C.ShapeBytes += Step.Prepared.Shape.size();
     break;
   }
 }
