An answer of a server belongs to the request that it fits, or to none

Callers saw: rows and signatures of the statement before, on connections whose server had answered twice; a success without the signature of the server.

Cause: a connection counted answers. Whatever arrived next was taken for the answer to the request that waited, and after one answer too many everything on that connection was off by one. In an open transaction a statement that was refused as busy was sent again, so that a second BUSY made it run twice.

Change: matchReply compares an answer with the request in progress and with the last 256 answers of the connection. A signature that was seen before is a repeated answer; the request goes on waiting, the connection takes no new work afterwards. An error can't be told from its repetition, so that a connection ends with the first one; a transaction that a server refuses to go on with is aborted. A success of a statement without a signature is no answer. Event 172 and a counter name each case.

--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -61,6 +61,7 @@
   StatementCut,
   InputRejected,
   LinesDropped,
+  AnswerRejected,
 };
 
 /// Number and name of an event in the log, and how many of its lines are
@@ -72,7 +73,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 44> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 45> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -117,6 +118,7 @@
     {167, "statement-cut", 40},
     {170, "input-rejected", 20},
     {171, "lines-dropped", 1},
+    {172, "answer-rejected", 20},
 }};
 
 /// One field of a line: a key with a text or a number. Refers to the texts that
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -249,9 +249,6 @@
   void send(const AttemptRef &A);
   void handleReply(const AttemptRef &A, ServerReply Reply);
   void recordPosition(const Attempt &A, const ServerReply &Reply);
-  /// Sends a statement of an open transaction again after a pause, because the
-  /// overloaded server refused to run it.
-  void resendInTransaction(const JobRef &J);
   void endAttempt(const AttemptRef &A, bool Reuse);
   void retryOrFail(const AttemptRef &A, const ServerReply &Reply,
                    bool MayHaveRun);
--- a/packages/engine/include/engine/metrics.h
+++ b/packages/engine/include/engine/metrics.h
@@ -50,6 +50,8 @@
   void recordForwarded(StatementOutcome Outcome, Duration Latency);
   void recordRetry() { Retries->Increment(); }
   void recordHandshake() { Handshakes->Increment(); }
+  /// Records an answer of a server that answers no request in progress.
+  void recordRejectedAnswer() { RejectedAnswers->Increment(); }
   /// Records a request to the store.
   void recordStoreCall(bool Answered);
   void setSessionCount(std::size_t Open) {
@@ -73,6 +75,7 @@
   prometheus::Histogram *ForwardedLatency = nullptr;
   prometheus::Counter *Retries = nullptr;
   prometheus::Counter *Handshakes = nullptr;
+  prometheus::Counter *RejectedAnswers = nullptr;
   std::array<prometheus::Counter *, 2> StoreCalls{};
   prometheus::Gauge *Sessions = nullptr;
   prometheus::Gauge *ConfigVersion = nullptr;
--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -144,6 +144,12 @@
       : Server(std::move(Server)), MaxPoolSize(MaxPoolSize), Hooks(Hooks),
         Dial(std::move(Dial)), Events(Events) {}
 
+  /// No session uses the connection, and one may.
+  static bool idle(const PooledConnection &C) {
+    return !C.Busy && C.Connection->usable();
+  }
+  /// Closes idle connections that must not be used any more.
+  void dropUnusable();
   void handleDialResult(const DialResult &Result, Instant StartedAt);
   void handleDialFailure(DialOutcome Outcome, Instant StartedAt);
   bool mayDial() const;
--- /dev/null
+++ b/packages/engine/include/engine/replymatch.h
@@ -0,0 +1,64 @@
+/// \file
+/// Decides which request an answer of a server belongs to. Answers carry no
+/// request id and arrive in the order of the requests, but a server may send an
+/// answer a second time, at any time later. Such a repeated answer must not be
+/// taken for the answer to the request that waits then.
+
+#ifndef EELGRASSLOOM_ENGINE_REPLYMATCH_H
+#define EELGRASSLOOM_ENGINE_REPLYMATCH_H
+
+#include "engine/types.h"
+#include <array>
+#include <cstddef>
+
+namespace eelgrassloom {
+
+/// What an answer is, given the requests and answers before it.
+enum class ReplyMatch : std::uint8_t {
+  /// It answers the request in progress.
+  Answer,
+  /// The server has sent it before; the request in progress still waits.
+  Repeated,
+  /// No request is in progress that it could answer.
+  Unrequested,
+  /// A success of a statement without the signature of the server.
+  Unsigned,
+  /// Its signature or its transaction state is impossible for the request in
+  /// progress.
+  Impossible,
+};
+inline constexpr std::array<std::string_view, 5> ReplyMatchNames = {
+    "answer", "repeated", "unrequested", "unsigned", "impossible"};
+constexpr std::string_view name(ReplyMatch M) {
+  return ReplyMatchNames[static_cast<std::size_t>(M)];
+}
+
+/// Number of earlier answers of a connection that are recognized when they
+/// arrive again.
+inline constexpr std::size_t MaxRememberedReplies = 256;
+
+/// The answers that one connection has received.
+struct ReplyHistory {
+  /// Hashes of signatures and of answers without one; a ring that overwrites
+  /// the oldest.
+  std::vector<std::uint64_t> Seen;
+  std::size_t Next = 0;
+  /// State of the transaction after the last answer.
+  TransactionState State = TransactionState::None;
+};
+
+/// History of a connection that the server has opened with this answer.
+ReplyHistory startHistory(const ServerReply &Opening);
+
+/// Compares an answer with the request in progress, null if there is none, and
+/// with earlier answers, and remembers it. An answer with a signature belongs
+/// to a statement of a caller and has a signature that no other has. Answers to
+/// requests of the proxy itself have none, so that a repeated one can be taken
+/// for the answer to such a request; the surplus is then found by the next
+/// statement.
+ReplyMatch matchReply(ReplyHistory &History, const ServerCall *Request,
+                      const ServerReply &Reply);
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_ENGINE_REPLYMATCH_H
--- a/packages/engine/include/engine/types.h
+++ b/packages/engine/include/engine/types.h
@@ -184,6 +184,10 @@
   /// Sends requests together; \p Done receives one reply each. If the
   /// connection ends early, the replies end with one whose NoAnswer is set.
   virtual void exchange(std::vector<ServerCall> Calls, ReplyHandler Done) = 0;
+  /// False if no new work must be given to the connection, because it has ended
+  /// or answers on it can't be told apart any more. What is in progress on it
+  /// may be finished.
+  virtual bool usable() const { return true; }
   /// Closes the connection; the handler of a pending exchange is not called.
   virtual void close() = 0;
 };
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -8,8 +8,7 @@
 namespace eelgrassloom {
 namespace detail {
 
-/// Pause before sending a statement again after an overloaded server refused
-/// it.
+/// Pause before an overloaded server that refused a statement gets it again.
 constexpr Duration OverloadRetryDelay = std::chrono::milliseconds(15);
 /// Time for which the primary is not used after it refused a write as a server
 /// that is not primary. The primary record is polled meanwhile.
@@ -176,6 +175,15 @@
       (J.Kind == JobKind::InTransaction ||
        (J.Kind == JobKind::FirstInTransaction && Reply.ok()));
   bool Clean = !Reply.NoAnswer && Reply.State == TransactionState::None;
+  if (HoldsTransaction && Reply.Error &&
+      Reply.State == TransactionState::Open) {
+    // The connection takes no further statement after an error, and ends the
+    // transaction with it.
+    HoldsTransaction = false;
+    Reply.Error = ReplyCode::Aborted;
+    Reply.ErrorText =
+        "the transaction was rolled back after: " + Reply.ErrorText;
+  }
   if (HoldsTransaction) {
     // The connection stays reserved for the transaction.
     --A->Pool->InFlight;
@@ -207,11 +215,6 @@
     Reply.NoAnswer = true;
   }
   if (HoldsTransaction) {
-    if (Reply.Error == ReplyCode::Busy &&
-        Reply.State == TransactionState::Open) {
-      resendInTransaction(A->J);
-      return;
-    }
     JobResult Result;
     Result.Pinned =
         PinnedConnection{A->Pool, A->Connection, nullptr, 0, A->Epoch};
@@ -224,13 +227,6 @@
   retryOrFail(A, Reply, MayHaveRun);
 }
 
-void Group::resendInTransaction(const JobRef &J) {
-  Hooks.After(detail::OverloadRetryDelay, [Self = shared_from_this(), J] {
-    if (!J->Finished)
-      Self->start(J, J->Pinned->Pool, J->Pinned->Connection, {});
-  });
-}
-
 void Group::endAttempt(const AttemptRef &A, bool Reuse) {
   A->Ended = true;
   Attempts.remove(A);
@@ -293,6 +289,11 @@
     Forwarder->rollBack(Pinned);
     return;
   }
+  if (!Pinned.Connection->Connection->usable()) {
+    // The server rolls the transaction back when the connection ends.
+    Pinned.Pool->release(Pinned.Connection, false);
+    return;
+  }
   Pinned.Connection->Connection->exchange(
       {makeCall(ServerCommand::RollBack)},
       [Pinned](std::vector<ServerReply> Replies) {
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -85,14 +85,9 @@
   // A transaction must not stay open on a connection that nobody holds. If an
   // attempt is in progress, its connection is closed, which rolls the
   // transaction back.
-  if (auto A = J->CurrentAttempt; A && !A->Ended) {
-    if (J->Kind != JobKind::Autocommit)
-      endAttempt(A, false);
-  } else if (J->Pinned) {
-    // The overloaded server refused the statement, and a timer would have sent
-    // it again.
-    rollBack(*J->Pinned);
-  }
+  auto A = J->CurrentAttempt;
+  if (A && !A->Ended && J->Kind != JobKind::Autocommit)
+    endAttempt(A, false);
 }
 
 std::vector<ServerLoad> Group::serverLoads(Instant Now) const {
--- a/packages/engine/src/metrics.cpp
+++ b/packages/engine/src/metrics.cpp
@@ -63,6 +63,12 @@
                     .Help("Connections opened to servers.")
                     .Register(Registry)
                     .Add({});
+  RejectedAnswers =
+      &prometheus::BuildCounter()
+           .Name("eelgrassloom_rejected_answers_total")
+           .Help("Answers of servers that fit no request in progress.")
+           .Register(Registry)
+           .Add({});
   constexpr std::array<std::string_view, 2> Answers = {"no", "yes"};
   detail::addCounters(
       prometheus::BuildCounter()
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -40,6 +40,7 @@
 }
 
 ConnectionRef ServerPool::acquire(SessionId Session) {
+  dropUnusable();
   ConnectionRef Best;
   for (const ConnectionRef &C : Open) {
     if (C->Busy)
@@ -64,7 +65,7 @@
   if (Open.count(Connection) == 0)
     return;
   Connection->Busy = false;
-  if (!Reuse || Closed) {
+  if (!Reuse || Closed || !Connection->Connection->usable()) {
     Connection->Connection->close();
     Open.erase(Connection);
   } else {
@@ -76,7 +77,16 @@
 
 bool ServerPool::hasIdle() const {
   return std::any_of(Open.begin(), Open.end(),
-                     [](const ConnectionRef &C) { return !C->Busy; });
+                     [](const ConnectionRef &C) { return idle(*C); });
+}
+
+void ServerPool::dropUnusable() {
+  std::erase_if(Open, [](const ConnectionRef &C) {
+    if (C->Busy || C->Connection->usable())
+      return false;
+    C->Connection->close();
+    return true;
+  });
 }
 
 bool ServerPool::mayDial() const {
@@ -90,6 +100,7 @@
 }
 
 void ServerPool::ensureConnection() {
+  dropUnusable();
   if (!hasIdle())
     openAnother();
 }
@@ -213,6 +224,7 @@
 }
 
 void ServerPool::closeIdle(bool InUse) {
+  dropUnusable();
   Instant Now = Hooks.Now();
   std::size_t Share =
       InUse ? ServerConnectionCap / std::max<std::size_t>(1, ProxyCount) : 0;
--- /dev/null
+++ b/packages/engine/src/replymatch.cpp
@@ -0,0 +1,112 @@
+#include "engine/replymatch.h"
+#include <algorithm>
+#include <functional>
+
+namespace eelgrassloom {
+namespace detail {
+
+void combine(std::uint64_t &Hash, std::uint64_t Value) {
+  constexpr std::uint64_t GoldenRatio = 0x9e3779b97f4a7c15;
+  Hash ^= Value + GoldenRatio + (Hash << 6) + (Hash >> 2);
+}
+
+/// Equal for an answer and its repetition. A signature alone identifies an
+/// answer.
+std::uint64_t fingerprint(const ServerReply &R) {
+  std::hash<std::string> HashText;
+  if (!R.Signature.empty())
+    return HashText(R.Signature);
+  std::uint64_t Hash = R.Result ? 1 : 0;
+  for (const std::string &Row : R.Rows)
+    combine(Hash, HashText(Row));
+  combine(Hash, static_cast<std::uint64_t>(R.State));
+  if (R.LogPosition) {
+    combine(Hash, R.LogPosition->Term);
+    combine(Hash, R.LogPosition->Index);
+  }
+  return Hash;
+}
+
+bool seen(const ReplyHistory &H, std::uint64_t Fingerprint) {
+  return std::find(H.Seen.begin(), H.Seen.end(), Fingerprint) != H.Seen.end();
+}
+
+void remember(ReplyHistory &H, std::uint64_t Fingerprint) {
+  if (H.Seen.size() < MaxRememberedReplies) {
+    H.Seen.push_back(Fingerprint);
+    return;
+  }
+  H.Seen[H.Next] = Fingerprint;
+  H.Next = (H.Next + 1) % MaxRememberedReplies;
+}
+
+bool isCallerStatement(const ServerCall &Request) {
+  return Request.Command == ServerCommand::Statement ||
+         Request.Command == ServerCommand::Execute;
+}
+
+/// State of the transaction after the success of a request of the proxy.
+TransactionState stateAfter(const ServerCall &Request,
+                            TransactionState Before) {
+  switch (Request.Command) {
+  case ServerCommand::Begin:
+  case ServerCommand::BeginReadOnly:
+    return TransactionState::Open;
+  case ServerCommand::RollBack:
+    return TransactionState::None;
+  default:
+    return Before;
+  }
+}
+
+/// What a success is that was not received before.
+ReplyMatch matchNew(const ReplyHistory &H, const ServerCall &Request,
+                    const ServerReply &Reply) {
+  if (isCallerStatement(Request))
+    return Reply.Signature.empty() ? ReplyMatch::Unsigned : ReplyMatch::Answer;
+  bool HasRows = Request.Command == ServerCommand::Status;
+  return Reply.Signature.empty() && Reply.Rows.empty() != HasRows &&
+                 Reply.State == stateAfter(Request, H.State)
+             ? ReplyMatch::Answer
+             : ReplyMatch::Impossible;
+}
+
+/// What a success is that equals an earlier one. Successes without a signature
+/// often are equal.
+ReplyMatch matchEqual(const ReplyHistory &H, const ServerCall &Request,
+                      const ServerReply &Reply) {
+  return !isCallerStatement(Request) &&
+                 matchNew(H, Request, Reply) == ReplyMatch::Answer
+             ? ReplyMatch::Answer
+             : ReplyMatch::Repeated;
+}
+
+} // namespace detail
+
+ReplyMatch matchReply(ReplyHistory &History, const ServerCall *Request,
+                      const ServerReply &Reply) {
+  std::uint64_t Fingerprint = detail::fingerprint(Reply);
+  bool Seen = !Reply.Error && detail::seen(History, Fingerprint);
+  ReplyMatch Match = ReplyMatch::Unrequested;
+  if (Request == nullptr || !Reply.Result)
+    Match = Seen ? ReplyMatch::Repeated : ReplyMatch::Unrequested;
+  else if (Reply.Error)
+    Match = ReplyMatch::Answer;
+  else
+    Match = Seen ? detail::matchEqual(History, *Request, Reply)
+                 : detail::matchNew(History, *Request, Reply);
+  if (Match != ReplyMatch::Answer)
+    return Match;
+  History.State = Reply.State;
+  if (!Seen && !Reply.Error)
+    detail::remember(History, Fingerprint);
+  return Match;
+}
+
+ReplyHistory startHistory(const ServerReply &Opening) {
+  ReplyHistory History;
+  detail::remember(History, detail::fingerprint(Opening));
+  return History;
+}
+
+} // namespace eelgrassloom
--- a/packages/engine/test/fakes-test.cpp
+++ b/packages/engine/test/fakes-test.cpp
@@ -53,6 +53,7 @@
     });
   }
 
+  bool usable() const override { return !Closed && !Failed; }
   void close() override { Closed = true; }
 
 private:
@@ -71,6 +72,7 @@
     R.Signature = R.ok() && !Call.Id.empty() ? "sig" : "";
     R.State = Open ? TransactionState::Open : TransactionState::None;
     R.LogPosition = S.Log;
+    Failed = Failed || R.Error.has_value();
     return R;
   }
 
@@ -78,6 +80,8 @@
   FakeServer &S;
   bool Open = false;
   bool Closed = false;
+  /// A connection is not used again after an error.
+  bool Failed = false;
   std::shared_ptr<bool> Token = std::make_shared<bool>(true);
 };
 
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -115,6 +115,27 @@
   CHECK(F.server("p").count("WRITE a x") == 0);
 }
 
+// Guards against a write that runs twice in a transaction because an overloaded
+// server answers its refusal twice.
+TEST_CASE("a transaction ends when a server refuses one of its statements") {
+  EngineFixture F;
+  ServerReply Busy;
+  Busy.Error = ReplyCode::Busy;
+  F.server("p").Answers["WRITE b x"] = Busy;
+  auto S = F.open("latest");
+  S->submit(Begin);
+  S->submit(write("a"));
+  F.run();
+  S->submit(write("b"));
+  F.advance(1s);
+  CHECK(F.last().Error == ReplyCode::Aborted);
+  CHECK(F.server("p").count("WRITE b x") == 1);
+  S->submit(Commit);
+  F.run();
+  CHECK(F.last().Error == ReplyCode::Aborted);
+  CHECK(F.server("p").count("COMMIT") == 0);
+}
+
 TEST_CASE("a rollback is answered at once and sent to the server") {
   EngineFixture F;
   auto S = F.open("latest");
