A statement that no server accepts is answered, not sent without end

Callers saw: a timeout, after a PREPARE that the server refused as malformed had been sent thousands of times.

Cause: an error of the setup counted as one after which nothing ran, and such a statement was sent again at once. If a step before the last one had failed, the error of the last one was looked at, which may be none.

Change: MALFORMED and TOOBIG end the statement; other errors of a setup count as failed attempts. A read that does not fit into a message together with the position that a replica must hold runs on the primary.

The new unit test was not run on the old code.

--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -105,6 +105,8 @@
   std::shared_ptr<PeerConnection> ForwardedTo;
   /// Number of the exchange with that proxy.
   std::uint64_t Exchange = 0;
+  /// It leaves no room in a message for the position that a replica must hold.
+  bool PrimaryOnly = false;
   /// Servers that are not tried again, because an attempt there failed or was
   /// slow.
   std::vector<UpstreamId> Excluded;
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -34,6 +34,18 @@
          Code == ReplyCode::Lagging || Code == ReplyCode::ReadOnly;
 }
 
+/// True for codes that another attempt of the statement would get as well.
+bool isPermanent(ReplyCode Code) {
+  return Code == ReplyCode::Malformed || Code == ReplyCode::TooBig;
+}
+
+/// Why a setup has failed: the first answer that is no success.
+ServerReply failureOf(const std::vector<ServerReply> &Replies) {
+  auto Failed = std::find_if(Replies.begin(), Replies.end(),
+                             [](const ServerReply &R) { return !R.ok(); });
+  return Failed == Replies.end() ? Replies.back() : *Failed;
+}
+
 } // namespace detail
 
 void Group::start(const JobRef &J, const std::shared_ptr<ServerPool> &Pool,
@@ -115,13 +127,13 @@
     send(A);
     return;
   }
-  ServerReply Reply = std::move(Replies.back());
-  recordPosition(*A, Reply);
+  recordPosition(*A, Replies.back());
   // An open transaction ends with its connection.
-  bool Clean = !Reply.NoAnswer && Reply.State == TransactionState::None &&
+  bool Clean = !Replies.back().NoAnswer &&
+               Replies.back().State == TransactionState::None &&
                J.Kind != JobKind::InTransaction && J.Kind != JobKind::Commit;
   endAttempt(A, Clean);
-  retryOrFail(A, Reply, false);
+  retryOrFail(A, detail::failureOf(Replies), false);
 }
 
 void Group::send(const AttemptRef &A) {
@@ -254,7 +266,14 @@
   // commit the first run leaves nothing behind.
   bool Safe =
       !MayHaveRun || !J->Write || J->Kind == JobKind::FirstInTransaction;
-  if (!Repeatable || !Safe) {
+  bool Permanent = Reply.Error && detail::isPermanent(*Reply.Error);
+  if (Reply.Error == ReplyCode::TooBig && A->MinPosition && !J->PrimaryOnly) {
+    // It may fit without the position.
+    J->PrimaryOnly = true;
+    requeue(J, Duration::zero());
+    return;
+  }
+  if (!Repeatable || !Safe || Permanent) {
     JobResult Result;
     Result.Reply = Reply;
     finish(J, std::move(Result));
@@ -262,7 +281,7 @@
   }
   if (J->Running > 0)
     return; // Another attempt of this read is in progress.
-  if (MayHaveRun) {
+  if (MayHaveRun || (Reply.Error && !detail::didNotRun(*Reply.Error))) {
     J->Excluded.push_back(A->Pool->server().Id);
     if (++J->Failures >= detail::MaxFailures) {
       JobResult Result;
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -131,7 +131,8 @@
 PlacementRequest Group::makePlacementRequest(const Job &J,
                                              Instant /*Now*/) const {
   PlacementRequest Request;
-  Request.PrimaryOnly = J.Write || J.Route.Reads == ReadConsistency::Latest ||
+  Request.PrimaryOnly = J.Write || J.PrimaryOnly ||
+                        J.Route.Reads == ReadConsistency::Latest ||
                         (J.Kind == JobKind::FirstInTransaction && !J.ReadOnly);
   if (!Request.PrimaryOnly)
     Request.Required = requiredPositionFor(J);
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -136,6 +136,25 @@
   CHECK(F.server("p").count("COMMIT") == 0);
 }
 
+// Guards against a statement that is sent without end because no server accepts
+// a variable or a prepared statement of its session.
+TEST_CASE("an error of the setup is passed on") {
+  EngineFixture F;
+  ServerReply Malformed;
+  Malformed.Error = ReplyCode::Malformed;
+  F.server("p").Answers["SET x 1"] = Malformed;
+  auto S = F.open("latest");
+  Statement Set = simple(StatementKind::Set, "SET x 1");
+  Set.Name = "x";
+  Set.Argument = "1";
+  S->submit(Set);
+  S->submit(write("a"));
+  F.advance(100ms);
+  CHECK(F.last().Error == ReplyCode::Malformed);
+  CHECK(F.server("p").count("SET x 1") == 1);
+  CHECK(F.server("p").count("WRITE a x") == 0);
+}
+
 TEST_CASE("a rollback is answered at once and sent to the server") {
   EngineFixture F;
   auto S = F.open("latest");
