Log lines are valid JSON in UTF-8, whatever the bytes of their texts

Cause: texts of callers were copied into lines byte by byte and cut after 600 bytes, also in the middle of a character.

Change: a byte that is not part of a UTF-8 character is written as \xHH, a text is cut at the end of a character, DEL is escaped. A text of printable ASCII is copied at once as before.

Measured: with the previous events.cpp "any bytes give a line of valid JSON" and "a long text is cut at the end of a character" fail (2 of 2); with this change they pass.

--- a/packages/engine/src/events.cpp
+++ b/packages/engine/src/events.cpp
@@ -1,4 +1,6 @@
 #include "engine/events.h"
+#include "kernel/logtext.h"
+#include <algorithm>
 #include <cstdio>
 
 namespace eelgrassloom {
@@ -7,25 +9,32 @@
 /// While the buffer is larger than this, new lines are dropped.
 constexpr std::size_t MaxBufferedBytes = std::size_t{256} * 1024;
 constexpr std::int64_t MillisPerSecond = 1000;
-/// Texts of fields are truncated to this size. Longer ones come from malformed
-/// input.
-constexpr std::size_t MaxFieldBytes = 600;
+/// True for a character that a JSON text holds as it is.
+bool isPlain(char C) { return C >= ' ' && C < 0x7f && C != '"' && C != '\\'; }
+
+void appendCharacter(std::string &Out, char C) {
+  auto Code = static_cast<unsigned char>(C);
+  if (C == '"' || C == '\\') {
+    Out += '\\';
+    Out += C;
+  } else if (Code < 0x20 || Code == 0x7f) {
+    std::array<char, 8> Escape{};
+    std::snprintf(Escape.data(), Escape.size(), "\\u%04x",
+                  static_cast<unsigned>(Code));
+    Out += Escape.data();
+  } else {
+    Out += C;
+  }
+}
 
 void appendEscaped(std::string &Out, std::string_view Text) {
   Out += '"';
-  for (char C : Text.substr(0, MaxFieldBytes)) {
-    if (C == '"' || C == '\\') {
-      Out += '\\';
-      Out += C;
-    } else if (static_cast<unsigned char>(C) < 0x20) {
-      std::array<char, 8> Code{};
-      std::snprintf(Code.data(), Code.size(), "\\u%04x",
-                    static_cast<unsigned>(static_cast<unsigned char>(C)));
-      Out += Code.data();
-    } else {
-      Out += C;
-    }
-  }
+  if (Text.size() <= MaxLogTextBytes &&
+      std::all_of(Text.begin(), Text.end(), isPlain))
+    Out += Text;
+  else
+    for (char C : logText(Text))
+      appendCharacter(Out, C);
   Out += '"';
 }
 
--- a/packages/engine/test/events-test.cpp
+++ b/packages/engine/test/events-test.cpp
@@ -1,6 +1,9 @@
 #include "engine/events.h"
+#include "kernel/logtext.h"
 #include <doctest/doctest.h>
 #include <fstream>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
 #include <sstream>
 
 using namespace eelgrassloom;
@@ -46,3 +49,40 @@
                {{"findings", std::string(100000, 'x')}});
   CHECK(Writer.take().size() < 1000);
 }
+
+namespace {
+
+/// The text that a reader of the log gets for a field with these bytes.
+std::string loggedText(const std::string &Bytes) {
+  EventWriter Writer("n", [] { return std::int64_t{5}; });
+  Writer.write(EngineEvent::InputRejected, {{"id", Bytes}});
+  std::string Line = Writer.take();
+  REQUIRE(std::count(Line.begin(), Line.end(), '\n') == 1);
+  return nlohmann::json::parse(Line).at("id").get<std::string>();
+}
+
+} // namespace
+
+// Guards against lines that no reader of JSON accepts: ids and names of callers
+// hold any bytes.
+TEST_CASE("any bytes give a line of valid JSON") {
+  CHECK(loggedText("a\xff\x80z") == "a\\xff\\x80z");
+  CHECK(loggedText("caf\xc3\xa9") == "caf\xc3\xa9");
+  // Overlong form, surrogate, above U+10FFFF, cut character.
+  CHECK(loggedText("\xc0\xaf") == "\\xc0\\xaf");
+  CHECK(loggedText("\xed\xa0\x80") == "\\xed\\xa0\\x80");
+  CHECK(loggedText("\xf4\x90\x80\x80") == "\\xf4\\x90\\x80\\x80");
+  CHECK(loggedText("\xe2\x82") == "\\xe2\\x82");
+  CHECK(loggedText(std::string("\0\x7f\"\\\r\n", 6)) ==
+        std::string("\0\x7f\"\\\r\n", 6));
+  CHECK(rc::check([](const std::string &Bytes) {
+    RC_ASSERT(loggedText(Bytes) == logText(Bytes));
+  }));
+}
+
+TEST_CASE("a long text is cut at the end of a character") {
+  std::string Start(599, 'x');
+  CHECK(loggedText(Start + "\xe2\x82\xac") == Start);
+  CHECK(loggedText(Start + "\xff\xff") == Start + "\\xff");
+  CHECK(loggedText(Start + "\"\"") == Start + "\"");
+}
