--- a/packages/ctl/src/logs.cpp
+++ b/packages/ctl/src/logs.cpp
@@ -1,4 +1,5 @@
 #include "ctl/logs.h"
+#include "kernel/logtext.h"
 #include "runtime/options.h"
 #include <algorithm>
 #include <cstdio>
@@ -90,9 +91,9 @@
 }
 
 bool selected(const LogLine &L, const LogFilter &F) {
-  return (F.Request.empty() || L.Request == F.Request) &&
-         (F.Node.empty() || L.Node == F.Node) &&
-         (F.Database.empty() || L.Database == F.Database) &&
+  return (F.Request.empty() || matchesLogged(F.Request, L.Request)) &&
+         (F.Node.empty() || matchesLogged(F.Node, L.Node)) &&
+         (F.Database.empty() || matchesLogged(F.Database, L.Database)) &&
          (!F.Session || L.Session == *F.Session) &&
          (!F.Promotions || isPromotionEvent(L));
 }
@@ -128,8 +129,8 @@
   if (Json)
     Out << L.Json << "\n";
   else
-    Out << timeOfDay(L.At) << " " << L.Node << " " << L.Event << " " << L.Name
-        << L.Fields << "\n";
+    Out << timeOfDay(L.At) << " " << printable(L.Node) << " " << L.Event << " "
+        << printable(L.Name) << printable(L.Fields) << "\n";
 }
 
 LogLine decodeLine(const json &Value, std::string Text) {
--- a/packages/ctl/test/logs-test.cpp
+++ b/packages/ctl/test/logs-test.cpp
@@ -1,7 +1,9 @@
 #include "ctl/logs.h"
+#include "kernel/logtext.h"
 #include <doctest/doctest.h>
 #include <filesystem>
 #include <fstream>
+#include <nlohmann/json.hpp>
 #include <sstream>
 #include <unistd.h>
 
@@ -127,3 +129,42 @@
   std::filesystem::remove(Path);
   CHECK(runCtl(3, Arguments, {}, Out, Err) == CtlExit::Failed);
 }
+
+// Guards against a request that can't be found in the logs because its id holds
+// bytes that a line can't.
+TEST_CASE("a request is found by its id, whatever its bytes") {
+  auto Found = [](const std::string &Id, const std::string &Wanted) {
+    nlohmann::json Line = {{"at", 5},
+                           {"node", "a"},
+                           {"event", 161},
+                           {"name", "statement-refused"},
+                           {"id", logText(Id)}};
+    std::istringstream In(Line.dump());
+    std::size_t Skipped = 0;
+    LogFilter F;
+    F.Request = Wanted;
+    return selectLines(readLog(In, Skipped), F).size() == 1 && Skipped == 0;
+  };
+  for (const std::string &Id :
+       {std::string("r\xff\x01"), std::string("\x7f\"\\"),
+        std::string("caf\xc3\xa9\xe9"), std::string(700, 'x'),
+        std::string(599, 'x') + "\xe2\x82\xac"})
+    CHECK_MESSAGE(Found(Id, Id), Id);
+  CHECK(Found(std::string("r\0\xff", 3), "r\\x00\\xff"));
+  CHECK_FALSE(Found("r", "s"));
+}
+
+// Guards against texts of callers that change what a terminal shows.
+TEST_CASE("control characters are printed as numbers") {
+  auto Path = std::filesystem::temp_directory_path() /
+              ("logs-control-test-" + std::to_string(::getpid()) + ".log");
+  std::ofstream(Path)
+      << R"({"at":1,"node":"a","event":170,"name":"x","id":"\n\u001b[2J\u009b"})";
+  std::string File = Path.string();
+  std::ostringstream Out;
+  std::ostringstream Err;
+  const char *Arguments[] = {"eelgrassctl", "logs", File.c_str(), nullptr};
+  CHECK(runCtl(3, Arguments, {}, Out, Err) == CtlExit::Done);
+  CHECK(Out.str() == "00:00:00.001 a 170 x id=\\x0a\\x1b[2J\\xc2\\x9b\n");
+  std::filesystem::remove(Path);
+}
