Messages between proxies are decoded strictly

Cause: nlohmann::json decodes nested MessagePack arrays recursively, so that one message of nested arrays overflows the stack and ends the process. Times of any length overflowed Duration, numbers of another type were converted. Names that are not UTF-8 in a datagram could become part of a record for the store, whose encoder throws for them.

Change: the nesting of a message is checked before it is decoded, numbers must be integers in range, texts of datagrams must be UTF-8.

--- a/packages/control/src/peermessage.cpp
+++ b/packages/control/src/peermessage.cpp
@@ -1,13 +1,54 @@
 // Encoding of the datagrams between proxies.
 
 #include "control/peers.h"
+#include "engine/messagepack.h"
+#include "kernel/logtext.h"
 #include "kernel/result.h"
-#include <nlohmann/json.hpp>
 
 namespace eelgrassloom {
 
 using nlohmann::json;
 
+namespace detail {
+
+/// Longest name of a proxy: the key of its registration has at most 200 bytes.
+constexpr std::size_t MaxProxyIdBytes = 180;
+
+/// Throws json::exception if a text or a name in the message is not UTF-8. Such
+/// a text can't be part of a record in the store, and its JSON encoder throws
+/// for it.
+void requireUtf8(const json &Value) {
+  if (Value.is_string() && !isUtf8(Value.get_ref<const std::string &>()))
+    throw json::type_error::create(MessageErrorId, "a text is not UTF-8",
+                                   nullptr);
+  if (!Value.is_structured())
+    return;
+  for (const auto &[Key, Element] : Value.items()) {
+    if (!isUtf8(Key))
+      throw json::type_error::create(MessageErrorId, "a name is not UTF-8",
+                                     nullptr);
+    requireUtf8(Element);
+  }
+}
+
+ProxyId decodeSender(const json &Value) {
+  auto Id = Value.get<std::string>();
+  if (Id.empty() || Id.size() > MaxProxyIdBytes)
+    throw json::out_of_range::create(
+        MessageErrorId, "the name of the sender has no valid length", nullptr);
+  return Id;
+}
+
+std::map<std::string, std::uint64_t, std::less<>>
+decodeEpochs(const json &Value) {
+  std::map<std::string, std::uint64_t, std::less<>> Epochs;
+  for (const auto &[Service, Epoch] : Value.items())
+    Epochs[Service] = decodeInteger<std::uint64_t>(Epoch);
+  return Epochs;
+}
+
+} // namespace detail
+
 std::string encode(const PeerMessage &M) {
   if (M.IsPing) {
     json Ping = {
@@ -50,45 +91,43 @@
 }
 
 Result<PeerMessage> decodePeerMessage(const std::string &Bytes) {
-  using Epochs = std::map<std::string, std::uint64_t, std::less<>>;
   try {
-    json Value = json::from_msgpack(Bytes);
+    json Value = decodeMessagePack(Bytes);
+    detail::requireUtf8(Value);
     PeerMessage M;
     M.IsRequest = Value.at("q").get<bool>();
-    M.From = Value.at("from").get<std::string>();
-    M.Exchange = Value.at("x").get<std::uint64_t>();
+    M.From = detail::decodeSender(Value.at("from"));
+    M.Exchange = decodeInteger<std::uint64_t>(Value.at("x"));
     M.IsPing = Value.value("p", false);
     if (M.IsPing)
       return Result<PeerMessage>::success(std::move(M));
-    M.Epochs.RecordEpochs = Value.at("records").get<Epochs>();
-    M.Epochs.Acknowledged = Value.at("acknowledged").get<Epochs>();
+    M.Epochs.RecordEpochs = detail::decodeEpochs(Value.at("records"));
+    M.Epochs.Acknowledged = detail::decodeEpochs(Value.at("acknowledged"));
     if (Value.contains("answered"))
       M.Epochs.Answered = Value.at("answered").get<AnsweredProxies>();
     for (const json &P : Value.at("positions"))
-      M.Positions.push_back(
-          {P.at(0).get<std::string>(),
-           P.at(1).get<std::uint64_t>(),
-           {P.at(2).get<std::uint64_t>(), P.at(3).get<std::uint64_t>()},
-           std::chrono::microseconds(P.at(4).get<std::uint64_t>())});
+      M.Positions.push_back({P.at(0).get<std::string>(),
+                             decodeInteger<std::uint64_t>(P.at(1)),
+                             {decodeInteger<std::uint64_t>(P.at(2)),
+                              decodeInteger<std::uint64_t>(P.at(3))},
+                             decodeMicros(P.at(4))});
     for (const json &G : Value.at("grants"))
-      M.Leases.push_back(
-          {G.at(0).get<std::string>(), G.at(1).get<std::uint64_t>(),
-           std::chrono::microseconds(G.at(2).get<std::int64_t>())});
+      M.Leases.push_back({G.at(0).get<std::string>(),
+                          decodeInteger<std::uint64_t>(G.at(1)),
+                          decodeMicros(G.at(2))});
     for (const json &R : Value.at("groups"))
       M.Records.push_back(
-          {{R.at(0).get<std::string>(), R.at(1).get<std::uint64_t>(),
-            R.at(2).get<unsigned>() == 0 ? GroupStage::Stable
-                                         : GroupStage::Revoking,
-            R.at(3).get<std::string>(), R.at(4).get<std::uint64_t>()},
-           R.at(5).get<std::uint64_t>()});
-    M.RecordsDigest = Value.at("groups_digest").get<std::uint64_t>();
-    M.ServersDigest = Value.at("servers_digest").get<std::uint64_t>();
-    M.ServersRevision = Value.at("servers").get<std::uint64_t>();
-    M.ConfigRevision = Value.at("rules").get<std::uint64_t>();
-    M.PollAge =
-        std::chrono::microseconds(Value.at("checked").get<std::int64_t>());
-    M.CrossDomainContactAge =
-        std::chrono::microseconds(Value.at("outside").get<std::int64_t>());
+          {{R.at(0).get<std::string>(), decodeInteger<std::uint64_t>(R.at(1)),
+            decodeInteger<unsigned>(R.at(2)) == 0 ? GroupStage::Stable
+                                                  : GroupStage::Revoking,
+            R.at(3).get<std::string>(), decodeInteger<std::uint64_t>(R.at(4))},
+           decodeInteger<std::uint64_t>(R.at(5))});
+    M.RecordsDigest = decodeInteger<std::uint64_t>(Value.at("groups_digest"));
+    M.ServersDigest = decodeInteger<std::uint64_t>(Value.at("servers_digest"));
+    M.ServersRevision = decodeInteger<std::uint64_t>(Value.at("servers"));
+    M.ConfigRevision = decodeInteger<std::uint64_t>(Value.at("rules"));
+    M.PollAge = decodeMicros(Value.at("checked"));
+    M.CrossDomainContactAge = decodeMicros(Value.at("outside"));
     return Result<PeerMessage>::success(std::move(M));
   } catch (const json::exception &E) {
     return Result<PeerMessage>::failure({{"datagram", "", E.what()}});
--- a/packages/engine/src/forwardcodec.cpp
+++ b/packages/engine/src/forwardcodec.cpp
@@ -2,7 +2,7 @@
 // arrays whose first element is a MessageTag.
 
 #include "engine/forward.h"
-#include <nlohmann/json.hpp>
+#include "engine/messagepack.h"
 
 namespace eelgrassloom {
 namespace detail {
@@ -23,31 +23,25 @@
   Servers,
 };
 
-/// Error id of nlohmann::json for a value that is out of range.
-constexpr int OutOfRangeErrorId = 401;
-
 template <class T> json encodeEnum(T Tag) { return static_cast<unsigned>(Tag); }
 
 /// Throws json::exception if the number is not below \p Count, the number of
 /// enumerators.
 template <class T> T decodeEnum(const json &Value, std::size_t Count) {
-  auto Number = Value.get<std::size_t>();
+  auto Number = decodeInteger<std::size_t>(Value);
   if (Number >= Count)
-    throw json::out_of_range::create(OutOfRangeErrorId,
-                                     "enum value out of range", nullptr);
+    throw json::out_of_range::create(MessageErrorId, "enum value out of range",
+                                     nullptr);
   return static_cast<T>(Number);
 }
 
-Duration decodeDuration(const json &Value) {
-  return std::chrono::microseconds(Value.get<std::int64_t>());
-}
-
 json encodePosition(const Position &P) {
   return json::array({P.Term, P.Index});
 }
 
 Position decodePosition(const json &Value) {
-  return {Value.at(0).get<std::uint64_t>(), Value.at(1).get<std::uint64_t>()};
+  return {decodeInteger<std::uint64_t>(Value.at(0)),
+          decodeInteger<std::uint64_t>(Value.at(1))};
 }
 
 json encodeBody(const ForwardRequest &M) {
@@ -125,16 +119,16 @@
   E.Service = V.at(1).get<std::string>();
   E.Address = V.at(2).get<std::string>();
   E.FailureDomain = V.at(3).get<std::string>();
-  E.Slots = V.at(4).get<unsigned>();
+  E.Slots = decodeInteger<unsigned>(V.at(4));
   E.Draining = V.at(5).get<bool>();
   E.ReportedRole = decodeEnum<Role>(V.at(6), RoleNames.size());
-  E.StartedAt = V.at(7).get<std::int64_t>();
+  E.StartedAt = decodeInteger<std::int64_t>(V.at(7));
   return E;
 }
 
 ServersList decodeServers(const json &V) {
   ServersList M;
-  M.Revision = V.at(1).get<std::uint64_t>();
+  M.Revision = decodeInteger<std::uint64_t>(V.at(1));
   for (const json &Entry : V.at(2))
     M.Servers.push_back(decodeServer(Entry));
   return M;
@@ -142,41 +136,40 @@
 
 ForwardRequest decodeRequest(const json &V) {
   ForwardRequest M;
-  M.Exchange = V.at(1).get<std::uint64_t>();
+  M.Exchange = decodeInteger<std::uint64_t>(V.at(1));
   M.Kind = decodeEnum<JobKind>(V.at(2), 4);
   M.Id = V.at(3).get<std::string>();
   M.Text = V.at(4).get<std::string>();
-  M.Session = V.at(5).get<std::uint64_t>();
-  for (const auto &[Key, Value] : V.at(6).items())
-    M.State.Variables[Key] = Value.get<std::string>();
+  M.Session = decodeInteger<std::uint64_t>(V.at(5));
+  M.State.Variables = V.at(6).get<decltype(M.State.Variables)>();
   if (!V.at(7).is_null())
     M.Prepared = {V.at(7).at(0).get<bool>(), V.at(7).at(1).get<std::string>()};
   const json &Route = V.at(8);
   M.Route.Service = Route.at(0).get<std::string>();
   M.Route.Reads =
       decodeEnum<ReadConsistency>(Route.at(1), ReadConsistencyNames.size());
-  M.Route.StalenessBound = decodeDuration(Route.at(2));
-  M.Route.StatementTimeout = decodeDuration(Route.at(3));
-  M.Route.LatencyObjective = decodeDuration(Route.at(4));
+  M.Route.StalenessBound = decodeMicros(Route.at(2));
+  M.Route.StatementTimeout = decodeMicros(Route.at(3));
+  M.Route.LatencyObjective = decodeMicros(Route.at(4));
   M.Route.WorkPriority =
       decodeEnum<Priority>(Route.at(5), PriorityNames.size());
   const json &Flags = V.at(9);
   M.Write = Flags.at(0).get<bool>();
   M.ReadOnly = Flags.at(1).get<bool>();
   M.Wrote = Flags.at(2).get<bool>();
-  M.Transaction = V.at(10).get<std::uint64_t>();
+  M.Transaction = decodeInteger<std::uint64_t>(V.at(10));
   M.LastCommit = {decodePosition(V.at(11).at(0)),
-                  V.at(11).at(1).get<std::uint64_t>()};
-  M.Age = decodeDuration(V.at(12));
-  M.OperationAge = decodeDuration(V.at(13));
+                  decodeInteger<std::uint64_t>(V.at(11).at(1))};
+  M.Age = decodeMicros(V.at(12));
+  M.OperationAge = decodeMicros(V.at(13));
   // Proxies of the previous version do not send it.
-  M.FirstTryAge = V.size() > 14 ? decodeDuration(V.at(14)) : M.OperationAge;
+  M.FirstTryAge = V.size() > 14 ? decodeMicros(V.at(14)) : M.OperationAge;
   return M;
 }
 
 ForwardAnswer decodeAnswer(const json &V) {
   ForwardAnswer M;
-  M.Exchange = V.at(1).get<std::uint64_t>();
+  M.Exchange = decodeInteger<std::uint64_t>(V.at(1));
   M.Reply.NoAnswer = V.at(2).get<bool>();
   if (!V.at(3).is_null())
     M.Reply.Error = decodeEnum<ReplyCode>(V.at(3), ReplyCodeNames.size());
@@ -186,8 +179,8 @@
   M.Reply.State = decodeEnum<TransactionState>(V.at(7), 3);
   if (!V.at(8).is_null())
     M.Reply.LogPosition = decodePosition(V.at(8));
-  M.Transaction = V.at(9).get<std::uint64_t>();
-  M.Epoch = V.at(10).get<std::uint64_t>();
+  M.Transaction = decodeInteger<std::uint64_t>(V.at(9));
+  M.Epoch = decodeInteger<std::uint64_t>(V.at(10));
   M.Unservable = V.at(11).get<bool>();
   return M;
 }
@@ -199,9 +192,9 @@
   case MessageTag::Answer:
     return decodeAnswer(V);
   case MessageTag::Cancel:
-    return ForwardCancel{V.at(1).get<std::uint64_t>()};
+    return ForwardCancel{decodeInteger<std::uint64_t>(V.at(1))};
   case MessageTag::RollBack:
-    return ForwardRollBack{V.at(1).get<std::uint64_t>()};
+    return ForwardRollBack{decodeInteger<std::uint64_t>(V.at(1))};
   case MessageTag::Leaving:
     return ForwardLeaving{};
   case MessageTag::Ping:
@@ -213,10 +206,10 @@
   case MessageTag::ConfigRequest:
     return ConfigRequest{};
   case MessageTag::Config:
-    return StoredConfig{V.at(1).get<std::uint64_t>(),
+    return StoredConfig{decodeInteger<std::uint64_t>(V.at(1)),
                         V.at(2).get<std::string>()};
   }
-  throw json::out_of_range::create(OutOfRangeErrorId, "unknown message tag",
+  throw json::out_of_range::create(MessageErrorId, "unknown message tag",
                                    nullptr);
 }
 
@@ -232,8 +225,8 @@
 
 Result<ForwardMessage> decodeForward(std::string_view Bytes) {
   try {
-    return Result<ForwardMessage>::success(detail::decodeMessage(
-        nlohmann::json::from_msgpack(Bytes.begin(), Bytes.end())));
+    return Result<ForwardMessage>::success(
+        detail::decodeMessage(decodeMessagePack(Bytes)));
   } catch (const nlohmann::json::exception &E) {
     return Result<ForwardMessage>::failure({{"stream", "", E.what()}});
   }
