Entries of servers from another proxy are validated

Cause: a list of servers that was read from another proxy was used as it was, although ids and services become words of protocol lines.

Change: each entry is validated like those of the store; others are logged as input-rejected.

--- a/packages/control/include/control/servers.h
+++ b/packages/control/include/control/servers.h
@@ -97,6 +97,7 @@
   /// Adds entries that may be missing only because of an outage of the store.
   void keepMissing(std::vector<ServerEntry> &Next);
   void set(std::vector<ServerEntry> Next, std::uint64_t NewRevision);
+  void applyPeerList(const ProxyId &From, const ServersList &List);
   void readProxy(const ProxyId &From, const std::string &Address);
 
   Engine &SessionEngine;
--- a/packages/control/src/servers.cpp
+++ b/packages/control/src/servers.cpp
@@ -145,6 +145,23 @@
     readProxy(From, Address);
 }
 
+/// Entries of another proxy are checked like those of the store: their ids and
+/// services become words of protocol lines.
+void ServersReader::applyPeerList(const ProxyId &From,
+                                  const ServersList &List) {
+  std::vector<ServerEntry> Valid;
+  for (const ServerEntry &Entry : List.Servers) {
+    std::vector<Finding> Findings = validate(Entry);
+    if (Findings.empty())
+      Valid.push_back(Entry);
+    else
+      SessionEngine.events().write(
+          EngineEvent::InputRejected,
+          {{"from", From}, {"findings", toString(Findings)}});
+  }
+  set(std::move(Valid), List.Revision);
+}
+
 void ServersReader::readProxy(const ProxyId &From, const std::string &Address) {
   ReadingProxy = true;
   sendPeerRequest(
@@ -160,7 +177,7 @@
              {"revision", Found != nullptr ? Found->Revision : 0},
              {"known", Revision}});
         if (Found != nullptr && Found->Revision > Revision)
-          set(Found->Servers, Found->Revision);
+          applyPeerList(From, *Found);
       });
 }
 
--- a/packages/control/test/registry-test.cpp
+++ b/packages/control/test/registry-test.cpp
@@ -43,3 +43,41 @@
       CHECK(P->Control->serverCount() == 2);
   }
 }
+
+// Guards against ids that shift the words of a protocol line: entries of the
+// store were checked, those of another proxy were not.
+TEST_CASE("invalid servers in the list of another proxy are not used") {
+  Fleet F(4, 2);
+  F.advance(10s);
+  for (auto &P : F.Members)
+    P->Forwarder->setStateProviders(
+        [Control = P->Control.get()] { return Control->currentConfig(); },
+        [Control = P->Control.get()] {
+          ServersList List = Control->currentServers();
+          List.Servers.push_back(List.Servers.front());
+          List.Servers.back().Id = "x\r\nQUERY";
+          return List;
+        });
+  F.Keys.PartitionedProxies = {"p0"};
+  F.Keys.Rejecting = true;
+  F.advance(2s);
+  F.Keys.Items.erase("servers/c");
+  F.Keys.put("servers/b", "up"); // Servers rewrite their entries all the time.
+  F.advance(6s);
+  CHECK(F.proxy(0).Control->serverCount() == 2);
+}
+
+// A datagram with a name that is not UTF-8 ended the process: the name became
+// part of the registration, whose encoder throws for it.
+TEST_CASE("a malformed name in a datagram does not end the process") {
+  Fleet F(4, 2);
+  F.advance(10s);
+  PeerMessage M;
+  M.From = "\xff";
+  M.Exchange = 1;
+  for (auto &P : F.Members)
+    P->PeerProxies->received("p9", encode(M));
+  F.Reachable.erase("a");
+  CHECK_NOTHROW(F.advance(8s));
+  CHECK(F.Promotions.size() == 1);
+}
