Answers between proxies fit into a datagram

Cause: UDP carries 65,507 bytes; a longer answer was not sent, without a trace.

Change: an answer that is too long leaves out records, positions, leases and answered proxies until it fits. Missing ones allow no conclusion, and each answer keeps other positions.

--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -77,6 +77,14 @@
   std::vector<StoredRecord> Records;
 };
 std::string encode(const PeerMessage &Message);
+/// Longest datagram that UDP carries over IPv4.
+inline constexpr std::size_t MaxDatagramBytes = 65507;
+/// Encodes a message into at most \p MaxBytes. If it is longer, records,
+/// positions, leases and the answered proxies are left out from the end until
+/// it fits: the receiver learns them from the store or another answer, and no
+/// conclusion is drawn from a missing one. Each call keeps other positions.
+std::string encodeWithin(PeerMessage Message, std::size_t MaxBytes,
+                         std::mt19937_64 &Random);
 Result<PeerMessage> decodePeerMessage(const std::string &Bytes);
 
 using DatagramSender =
--- a/packages/control/src/peermessage.cpp
+++ b/packages/control/src/peermessage.cpp
@@ -4,6 +4,7 @@
 #include "engine/messagepack.h"
 #include "kernel/logtext.h"
 #include "kernel/result.h"
+#include <algorithm>
 
 namespace eelgrassloom {
 
@@ -31,6 +32,22 @@
   }
 }
 
+/// Halves the first optional part that is not empty. Returns false if there is
+/// none.
+bool halveOptionalPart(PeerMessage &M) {
+  if (!M.Records.empty())
+    M.Records.resize(M.Records.size() / 2);
+  else if (!M.Positions.empty())
+    M.Positions.resize(M.Positions.size() / 2);
+  else if (!M.Leases.empty())
+    M.Leases.resize(M.Leases.size() / 2);
+  else if (!M.Epochs.Answered.empty())
+    M.Epochs.Answered.erase(std::prev(M.Epochs.Answered.end()));
+  else
+    return false;
+  return true;
+}
+
 ProxyId decodeSender(const json &Value) {
   auto Id = Value.get<std::string>();
   if (Id.empty() || Id.size() > MaxProxyIdBytes)
@@ -90,6 +107,17 @@
   return Bytes;
 }
 
+std::string encodeWithin(PeerMessage M, std::size_t MaxBytes,
+                         std::mt19937_64 &Random) {
+  std::string Bytes = encode(M);
+  if (Bytes.size() <= MaxBytes)
+    return Bytes;
+  std::shuffle(M.Positions.begin(), M.Positions.end(), Random);
+  while (Bytes.size() > MaxBytes && detail::halveOptionalPart(M))
+    Bytes = encode(M);
+  return Bytes;
+}
+
 Result<PeerMessage> decodePeerMessage(const std::string &Bytes) {
   try {
     json Value = decodeMessagePack(Bytes);
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -150,7 +150,7 @@
       M.Leases.push_back(
           {Service, G->primaryRecord().Epoch, G->remainingLease()});
   }
-  Send(Address, encode(M));
+  Send(Address, encodeWithin(std::move(M), MaxDatagramBytes, Random));
 }
 
 std::set<ProxyId, std::less<>> Peers::answeredSince(Instant Since) const {
--- a/packages/control/test/peers-test.cpp
+++ b/packages/control/test/peers-test.cpp
@@ -110,6 +110,35 @@
   CHECK_FALSE(accepted(M));
 }
 
+// A datagram of more than 64 KiB is not sent: with many services or long names
+// no answer of a proxy arrived any more, and leases were not extended.
+TEST_CASE("an answer that is too long leaves out what others know") {
+  PeerMessage M;
+  M.IsRequest = false;
+  M.From = "p1";
+  M.Exchange = 12;
+  for (unsigned I = 0; I < 1000; ++I) {
+    std::string Service = "service-" + std::to_string(I);
+    M.Epochs.RecordEpochs[Service] = I;
+    M.Positions.push_back({Service, 3, {2, 99}, 40ms});
+    M.Leases.push_back({Service, 3, 40ms});
+    M.Records.push_back({{Service, 3, GroupStage::Stable, "i-1", 2}, 77});
+  }
+  CHECK(encode(M).size() > MaxDatagramBytes);
+  Random Source(34);
+  std::string Bytes = encodeWithin(M, MaxDatagramBytes, Source);
+  CHECK(Bytes.size() <= MaxDatagramBytes);
+  auto Out = decodePeerMessage(Bytes);
+  REQUIRE(Out);
+  CHECK(Out.value().Epochs.RecordEpochs == M.Epochs.RecordEpochs);
+  CHECK(Out.value().Leases.size() == M.Leases.size());
+  CHECK_FALSE(Out.value().Positions.empty());
+  // An answer that fits is not changed.
+  M.Records.resize(1);
+  M.Positions.resize(1);
+  CHECK(encodeWithin(M, MaxDatagramBytes, Source) == encode(M));
+}
+
 TEST_CASE("changed datagrams crash neither the decoder nor the proxies") {
   constexpr unsigned Mutations = 3000;
   Fleet F(4, 2);
