A long message between proxies does not end the stream

Cause: frames were limited to 4 MiB and the queue to 8 MiB including the new message, so that one long answer or session state closed the stream with the statements of all callers. A connection was given up as silent while a long answer arrived on it.

Change: messages of up to 36 MiB pass. The sender checks the length: an answer that is too long becomes FAILED, a statement runs here or aborts its transaction. Arriving bytes restart the timeout of a ping.

--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -34,6 +34,12 @@
   bool operator==(const PeerInfo &) const = default;
 };
 
+/// Maximum length of an encoded message. The longest one is an answer with
+/// 16 MiB of rows, which needs up to as many bytes again for their lengths. A
+/// statement and a prepared text of 1 MiB each, with a session state of 4 MiB,
+/// are shorter.
+inline constexpr std::size_t MaxForwardBytes = std::size_t{36} << 20;
+
 /// Ordered connection to another proxy that carries whole messages.
 class PeerStream {
 public:
@@ -43,8 +49,11 @@
   /// inside of a call of this object.
   virtual void start(std::function<void(std::string_view)> Received,
                      std::function<void()> Ended) = 0;
+  /// \p Message is at most MaxForwardBytes long.
   virtual void send(std::string_view Message) = 0;
   virtual void close() = 0;
+  /// Number of received bytes, including those of an incomplete message.
+  virtual std::uint64_t receivedBytes() const { return 0; }
 };
 
 /// Opens a stream; the handler runs exactly once, with null after a failure.
@@ -151,6 +160,8 @@
   /// Time of the ping that has not been answered yet.
   std::optional<Instant> PingedAt;
   Instant LastPing;
+  /// PeerStream::receivedBytes() when it was last checked.
+  std::uint64_t ReceivedBytes = 0;
   /// Statements sent to the other proxy that have no answer yet, by exchange.
   std::map<std::uint64_t, JobRef> Pending;
   /// Open transactions of this proxy at the other one.
@@ -254,6 +265,8 @@
     std::uint64_t Number = 0;
     std::shared_ptr<PeerStream> Stream;
     Instant LastContact;
+    /// PeerStream::receivedBytes() when it was last checked.
+    std::uint64_t ReceivedBytes = 0;
     std::map<std::uint64_t, JobRef> Running;
     std::map<std::uint64_t, PinnedConnection> Transactions;
     /// Service of each transaction.
@@ -277,7 +290,9 @@
   PeerConnectionRef chooseOwner(std::string_view Service);
   PeerConnectionRef chooseConnection(const std::vector<ProxyId> &Order,
                                      std::string_view Service);
-  void sendTo(const PeerConnectionRef &Connection, const JobRef &J);
+  /// Returns false if the statement is too long to be sent.
+  bool sendTo(const PeerConnectionRef &Connection, const JobRef &J);
+  void abortTransaction(const JobRef &J);
   bool usable(const PeerConnectionRef &Connection, std::string_view Service);
   void dial(const PeerConnectionRef &Connection);
   void handleDialResult(const PeerConnectionRef &Connection,
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -45,6 +45,15 @@
   return M;
 }
 
+/// True if bytes have arrived since the last call, which has set \p Known.
+bool receivedMore(const std::shared_ptr<PeerStream> &Stream,
+                  std::uint64_t &Known) {
+  std::uint64_t Before = Known;
+  if (Stream)
+    Known = Stream->receivedBytes();
+  return Known != Before;
+}
+
 } // namespace detail
 
 std::unique_ptr<StatementForwarder>
@@ -124,8 +133,23 @@
     handleNoAnswer(J);
     return true;
   }
-  sendTo(Connection, J);
-  return true;
+  if (sendTo(Connection, J))
+    return true;
+  if (J->Pinned) {
+    abortTransaction(J);
+    return true;
+  }
+  J->ForwardedTo.reset();
+  return false;
+}
+
+/// Ends the transaction of a statement that can't be sent to its owner.
+void StatementForwarder::abortTransaction(const JobRef &J) {
+  rollBack(*J->Pinned);
+  JobResult Result;
+  Result.Reply.Error = ReplyCode::Aborted;
+  Result.Reply.ErrorText = "the statement is too long to be forwarded";
+  finish(J, std::move(Result));
 }
 
 bool StatementForwarder::forwardToFallback(const JobRef &J) {
@@ -134,21 +158,24 @@
     return false;
   PeerConnectionRef Connection =
       chooseConnection(fallbackOrder(J->Route.Service), J->Route.Service);
-  if (!Connection)
+  if (!Connection || !sendTo(Connection, J))
     return false;
   ++J->FallbackAttempts;
-  sendTo(Connection, J);
   return true;
 }
 
-void StatementForwarder::sendTo(const PeerConnectionRef &Connection,
+bool StatementForwarder::sendTo(const PeerConnectionRef &Connection,
                                 const JobRef &J) {
   Instant Now = SessionEngine.runtime().Now();
+  std::string Bytes = encode(detail::makeRequest(*J, NextExchange, Now));
+  if (Bytes.size() > MaxForwardBytes)
+    return false;
   J->ForwardedTo = Connection;
   J->SentAt = Now;
   J->Exchange = NextExchange++;
   Connection->Pending[J->Exchange] = J;
-  Connection->Stream->send(encode(detail::makeRequest(*J, J->Exchange, Now)));
+  Connection->Stream->send(Bytes);
+  return true;
 }
 
 void StatementForwarder::cancel(const JobRef &J) {
@@ -321,8 +348,11 @@
   All.insert(All.end(), ReplacedConnections.begin(), ReplacedConnections.end());
   for (const PeerConnectionRef &Connection : All) {
     // After a pause of this process an answer may have arrived that was not
-    // read yet, so the ping timeout starts again.
-    if (Paused && Connection->PingedAt)
+    // read yet, so the ping timeout starts again. So it does while a long
+    // message arrives, because the answer to the ping follows it.
+    if ((detail::receivedMore(Connection->Stream, Connection->ReceivedBytes) ||
+         Paused) &&
+        Connection->PingedAt)
       Connection->PingedAt = Now;
     checkConnection(Connection, Now);
     std::vector<JobRef> Overdue;
@@ -333,10 +363,13 @@
       expire(J);
   }
   std::vector<PeerClientRef> TimedOut;
-  for (const PeerClientRef &Client : Clients)
+  for (const PeerClientRef &Client : Clients) {
+    if (detail::receivedMore(Client->Stream, Client->ReceivedBytes))
+      Client->LastContact = Now;
     if (!Paused && Now - Client->LastContact >= Options.PeerTimeout &&
         (!Client->Running.empty() || !Client->Transactions.empty()))
       TimedOut.push_back(Client);
+  }
   for (const PeerClientRef &Client : TimedOut)
     dropClient(Client);
   if (Now < NextPreconnect)
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -13,6 +13,20 @@
 /// proxies are kept apart.
 constexpr unsigned PeerSessionShift = 40;
 
+/// Encodes an answer. One that is too long is replaced by an error, because the
+/// statements of other callers use the same stream.
+std::string encodeAnswer(ForwardAnswer Answer) {
+  std::string Bytes = encode(Answer);
+  if (Bytes.size() <= MaxForwardBytes)
+    return Bytes;
+  ServerReply &Reply = Answer.Reply;
+  Reply.Error = ReplyCode::Failed;
+  Reply.ErrorText = "the answer is too long to be forwarded";
+  Reply.Rows.clear();
+  Reply.Signature.clear();
+  return encode(Answer);
+}
+
 } // namespace detail
 
 void StatementForwarder::accept(std::shared_ptr<PeerStream> Stream) {
@@ -118,7 +132,7 @@
     Client->Stream->send(encode(Refusal));
     return;
   }
-  if (M.Transaction == 0 && (Stopping || !G || !SessionEngine.ready())) {
+  if (!G || (M.Transaction == 0 && (Stopping || !SessionEngine.ready()))) {
     Refusal.Unservable = true;
     Client->Stream->send(encode(Refusal));
     return;
@@ -170,7 +184,7 @@
     Client->Transactions.erase(Transaction);
     Client->Services.erase(Transaction);
   }
-  Client->Stream->send(encode(Answer));
+  Client->Stream->send(detail::encodeAnswer(std::move(Answer)));
 }
 
 void StatementForwarder::cancelForwarded(const PeerClientRef &Client,
--- a/packages/engine/test/proxypair.h
+++ b/packages/engine/test/proxypair.h
@@ -6,6 +6,7 @@
 
 #include "engine/forward.h"
 #include "fakes.h"
+#include <algorithm>
 #include <deque>
 
 namespace eelgrassloom::test {
@@ -17,6 +18,10 @@
   bool DropsMessages = false;
   /// Messages stay in the queue.
   bool Paused = false;
+  /// Length of the longest message that was sent.
+  std::size_t LongestMessage = 0;
+  /// Bytes arrive continually, those of a message that is not complete.
+  bool BytesArrive = false;
 
   bool run() {
     if (Paused)
@@ -43,6 +48,7 @@
   void send(std::string_view Message) override {
     if (Network.DropsMessages || Closed)
       return;
+    Network.LongestMessage = std::max(Network.LongestMessage, Message.size());
     Network.Queue.push_back([Weak = Other, Text = std::string(Message)] {
       auto To = Weak.lock();
       if (To && !To->Closed && To->Received)
@@ -62,9 +68,14 @@
     });
   }
 
+  std::uint64_t receivedBytes() const override {
+    return Network.BytesArrive ? ++Bytes : 0;
+  }
+
   FakeNetwork &Network;
   std::weak_ptr<FakeStream> Other;
   bool Closed = false;
+  mutable std::uint64_t Bytes = 0;
   std::function<void(std::string_view)> Received;
   std::function<void()> Ended;
 };
