--- a/packages/kernel/src/validation.cpp
+++ b/packages/kernel/src/validation.cpp
@@ -54,7 +54,8 @@
 
 bool validAddress(const std::string &Address) {
   std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
+  // inet_pton() reads up to the first NUL.
+  if (Colon == std::string::npos || Address.find('\0') != std::string::npos)
     return false;
   const char *End = Address.data() + Address.size();
   unsigned Port = 0;
--- a/packages/kernel/test/validation-test.cpp
+++ b/packages/kernel/test/validation-test.cpp
@@ -79,7 +79,12 @@
   }
   using Change = std::function<void(ServerEntry &)>;
   for (const Change &MakeInvalid : std::initializer_list<Change>{
+           [](ServerEntry &E) { E.Address.insert(8, 1, '\0'); },
            [](ServerEntry &E) { E.Id.clear(); },
+           [](ServerEntry &E) { E.Id = "i\xc2\xa0j"; },
+           [](ServerEntry &E) { E.Id = std::string("i\0j", 3); },
+           [](ServerEntry &E) { E.Service = "s\n"; },
+           [](ServerEntry &E) { E.Service = "s i-1"; },
            // Such an id would end the protocol line in which it is sent.
            [](ServerEntry &E) { E.Id = "i\r\nQUERY"; },
            [](ServerEntry &E) { E.Id = "i j"; },
