Tests of datagrams: say what was seen on the code before

Cause: two comments said that a nested datagram and a name that is not UTF-8 had ended the process.

Change: comments only.

Measured: with the previous peermessage.cpp and servers.cpp "texts of a datagram must be UTF-8", "numbers of a datagram must be integers in range" and "invalid servers in the list of another proxy are not used" fail; "a datagram that is nested deep is rejected" and "a malformed name in a datagram does not end the process" pass (64 KiB of nested arrays fit on the stack; 4 MiB on a stream do not).

--- a/packages/control/test/peers-test.cpp
+++ b/packages/control/test/peers-test.cpp
@@ -63,14 +63,14 @@
 
 } // namespace
 
-// One datagram of nested arrays overflowed the stack of the decoder.
+// Guards against a datagram whose nesting exhausts the stack of the decoder.
 TEST_CASE("a datagram that is nested deep is rejected") {
   CHECK_FALSE(decodePeerMessage(std::string(65507, '\x91')));
   CHECK_FALSE(decodePeerMessage(std::string(65507, '\x81')));
 }
 
-// A name that is not UTF-8 ended the process when it became part of the
-// registration, whose encoder throws for it.
+// Guards against a name that becomes part of the registration, whose encoder
+// throws for bytes that are not UTF-8.
 TEST_CASE("texts of a datagram must be UTF-8") {
   REQUIRE(accepted(validMessage()));
   for (const char *Place : {"/from", "/positions/0/0", "/grants/0/0",
--- a/packages/control/test/registry-test.cpp
+++ b/packages/control/test/registry-test.cpp
@@ -67,8 +67,8 @@
   CHECK(F.proxy(0).Control->serverCount() == 2);
 }
 
-// A datagram with a name that is not UTF-8 ended the process: the name became
-// part of the registration, whose encoder throws for it.
+// Guards against a name that is not UTF-8 in the registration, whose encoder
+// throws for it.
 TEST_CASE("a malformed name in a datagram does not end the process") {
   Fleet F(4, 2);
   F.advance(10s);
--- a/packages/engine/include/engine/messagepack.h
+++ b/packages/engine/include/engine/messagepack.h
@@ -13,7 +13,7 @@
 namespace eelgrassloom {
 
 /// Maximum nesting of arrays and maps. nlohmann::json decodes them recursively,
-/// so that a datagram with one array in another would exhaust the stack.
+/// so that a long message of nested arrays exhausts the stack.
 inline constexpr std::size_t MaxMessageDepth = 8;
 /// Error id of the exceptions that these functions throw, the one that
 /// nlohmann::json uses for a value out of range.
