Escape texts of callers in log lines and in eelgrassctl

Cause: events and eelgrassctl printed request ids, session ids and texts as they came. A request id with a line feed wrote a second line that looks like an event, one with a blank another field, and one with ESC controlled the terminal. The ring buffer kept texts of any length.

Change: escapeText and escapeWord replace every byte that is not part of a printable UTF-8 character; events.cpp, print.cpp, logs.cpp and ctl.cpp use them where text is written. A filter of the timeline also matches the escaped form, so that an id can be copied from a line. Texts of events are cut at 512 bytes.

--- a/packages/ctl/src/ctl.cpp
+++ b/packages/ctl/src/ctl.cpp
@@ -3,6 +3,7 @@
 #include "ctl/logs.h"
 #include "ctl/print.h"
 #include "operator.grpc.pb.h"
+#include "runtime/escape.h"
 #include <cstring>
 #include <google/protobuf/util/json_util.h>
 #include <grpcpp/grpcpp.h>
@@ -45,8 +46,8 @@
   Answer Value;
   grpc::Status S = ((*Stub).*Call)(&Context, In, &Value);
   if (!S.ok()) {
-    Err << "proxy " << A.Proxy << " does not answer: " << S.error_message()
-        << "\n";
+    Err << "proxy " << A.Proxy
+        << " does not answer: " << escapeText(S.error_message()) << "\n";
     return CtlExit::Failed;
   }
   show(A, Value, Out);
--- a/packages/ctl/src/logs.cpp
+++ b/packages/ctl/src/logs.cpp
@@ -1,4 +1,5 @@
 #include "ctl/logs.h"
+#include "runtime/escape.h"
 #include "runtime/options.h"
 #include <algorithm>
 #include <cstdio>
@@ -128,8 +129,8 @@
   if (Json)
     Out << L.Json << "\n";
   else
-    Out << timeOfDay(L.At) << " " << L.Node << " " << L.Event << " " << L.Name
-        << L.Fields << "\n";
+    Out << timeOfDay(L.At) << " " << escapeText(L.Node) << " " << L.Event << " "
+        << escapeText(L.Name) << L.Fields << "\n";
 }
 
 LogLine decodeLine(const json &Value, std::string Text) {
@@ -143,8 +144,9 @@
   L.Database = Value.value("service", "");
   for (const auto &[Key, Field] : Value.items())
     if (Key != "at" && Key != "node" && Key != "event" && Key != "name")
-      L.Fields += " " + Key + "=" +
-                  (Field.is_string() ? Field.get<std::string>() : Field.dump());
+      L.Fields += " " + escapeText(Key) + "=" +
+                  escapeText(Field.is_string() ? Field.get<std::string>()
+                                               : Field.dump());
   L.Json = std::move(Text);
   return L;
 }
--- a/packages/ctl/src/print.cpp
+++ b/packages/ctl/src/print.cpp
@@ -1,4 +1,5 @@
 #include "ctl/print.h"
+#include "runtime/escape.h"
 #include <algorithm>
 #include <array>
 #include <chrono>
@@ -14,6 +15,13 @@
 
 using Row = std::vector<std::string>;
 
+/// A row of texts that other programs sent.
+Row escapedRow(Row Cells) {
+  for (std::string &Cell : Cells)
+    Cell = escapeText(Cell);
+  return Cells;
+}
+
 /// Prints rows in aligned columns; the first row holds the headings.
 void printTable(std::ostream &Out, const std::vector<Row> &Rows) {
   std::vector<std::size_t> Widths(Rows.front().size());
@@ -65,8 +73,8 @@
   std::vector<Row> Rows = {
       {"PROXY", "STATE", "FAILURE DOMAIN", "PEER ADDRESS", "INCARNATION"}};
   for (const auto &M : A.members())
-    Rows.push_back({M.id(), M.state(), M.failure_domain(), M.address(),
-                    std::to_string(M.incarnation())});
+    Rows.push_back(escapedRow({M.id(), M.state(), M.failure_domain(),
+                               M.address(), std::to_string(M.incarnation())}));
   printTable(Out, Rows);
 }
 
@@ -75,24 +83,25 @@
                             "ROLE", "POSITION", "HEALTH", "CONNECTIONS",
                             "IN FLIGHT", "QUEUED", "STALENESS"}};
   for (const auto &U : A.upstreams())
-    Rows.push_back({U.database(), U.id(), U.failure_domain(), orDash(U.owner()),
+    Rows.push_back(
+        escapedRow({U.database(), U.id(), U.failure_domain(), orDash(U.owner()),
                     roleName(U.status().role()),
                     U.has_status() ? position(U.status().applied()) : "-",
                     health(U), std::to_string(U.connections()),
                     std::to_string(U.in_flight()), std::to_string(U.queued()),
                     U.status().role() == types::v1::UPSTREAM_ROLE_PRIMARY
                         ? "-"
-                        : std::to_string(U.staleness_ms()) + " ms"});
+                        : std::to_string(U.staleness_ms()) + " ms"}));
   printTable(Out, Rows);
 }
 
 void printGroups(std::ostream &Out, const operators::v1::StatusAnswer &A) {
   std::vector<Row> Rows = {{"DATABASE", "TERM", "STATE", "PRIMARY"}};
   for (const auto &G : A.groups())
-    Rows.push_back(
+    Rows.push_back(escapedRow(
         {G.database(), std::to_string(G.term()),
          G.state() == config::v1::GROUP_STATE_STABLE ? "stable" : "electing",
-         orDash(G.primary())});
+         orDash(G.primary())}));
   printTable(Out, Rows);
 }
 
@@ -101,8 +110,8 @@
     const google::protobuf::RepeatedPtrField<config::v1::Change> &Changes) {
   std::vector<Row> Rows = {{"PLACE", "BEFORE", "AFTER", "REASON"}};
   for (const auto &C : Changes)
-    Rows.push_back(
-        {C.place(), orDash(C.before()), orDash(C.after()), C.reason()});
+    Rows.push_back(escapedRow(
+        {C.place(), orDash(C.before()), orDash(C.after()), C.reason()}));
   printTable(Out, Rows);
 }
 
@@ -119,11 +128,13 @@
          Fraction + "Z";
 }
 
+/// The fields of the subject, already escaped.
 std::string subject(const operators::v1::Event &E) {
   std::string Text;
   auto Append = [&](const char *Key, const std::string &Value) {
     if (!Value.empty())
-      Text += std::string(Text.empty() ? "" : " ") + Key + "=" + Value;
+      Text +=
+          std::string(Text.empty() ? "" : " ") + Key + "=" + escapeWord(Value);
   };
   Append("database", E.database());
   Append("upstream", E.upstream());
@@ -137,12 +148,13 @@
 } // namespace detail
 
 void print(std::ostream &Out, const operators::v1::StatusAnswer &A) {
-  Out << "proxy " << A.proxy() << " in " << A.failure_domain()
-      << ", configuration version " << A.configuration_version()
+  Out << "proxy " << escapeText(A.proxy()) << " in "
+      << escapeText(A.failure_domain()) << ", configuration version "
+      << A.configuration_version()
       << ", platform reachable: " << detail::yesNo(A.platform_reachable())
       << ", draining: " << detail::yesNo(A.draining()) << "\n";
   for (const std::string &Note : A.notes())
-    Out << "note: " << Note << "\n";
+    Out << "note: " << escapeText(Note) << "\n";
   Out << "\n";
   detail::printMembers(Out, A);
   if (!A.groups().empty()) {
@@ -159,8 +171,8 @@
   if (A.plan_id().empty()) {
     Out << "no plan:\n";
     for (const auto &F : A.findings())
-      Out << "  " << F.place() << ": \"" << F.value()
-          << "\" is not valid; allowed: " << F.allowed() << "\n";
+      Out << "  " << escapeText(F.place()) << ": \"" << escapeText(F.value())
+          << "\" is not valid; allowed: " << escapeText(F.allowed()) << "\n";
     return;
   }
   Out << "plan " << A.plan_id() << " for configuration version "
@@ -171,7 +183,7 @@
 }
 
 void print(std::ostream &Out, const operators::v1::ConfirmAnswer &A) {
-  Out << A.message() << "\n";
+  Out << escapeText(A.message()) << "\n";
   if (A.since().empty())
     return;
   Out << "accepted since the plan was made:\n\n";
@@ -185,17 +197,19 @@
   std::vector<detail::Row> Rows = {
       {"TIME", "PROXY", "EVENT", "SUBJECT", "TEXT"}};
   for (const auto &E : A.events())
-    Rows.push_back({detail::clockTime(E.at_us() - Offsets[E.proxy()]),
-                    E.proxy(),
-                    "E" + std::to_string(E.number()) + " " + E.name(),
-                    detail::subject(E), E.text()});
+    Rows.push_back(
+        {detail::clockTime(E.at_us() - Offsets[E.proxy()]),
+         escapeText(E.proxy()),
+         "E" + std::to_string(E.number()) + " " + escapeText(E.name()),
+         detail::subject(E), escapeText(E.text())});
   detail::printTable(Out, Rows);
   Out << "\n";
   for (const auto &C : A.clocks())
-    Out << "clock of " << C.proxy() << ": " << std::showpos << C.offset_us()
-        << std::noshowpos << " us, error at most " << C.error_us() << " us\n";
+    Out << "clock of " << escapeText(C.proxy()) << ": " << std::showpos
+        << C.offset_us() << std::noshowpos << " us, error at most "
+        << C.error_us() << " us\n";
   for (const std::string &Proxy : A.unreachable())
-    Out << "unreachable: " << Proxy << "; its events are missing\n";
+    Out << "unreachable: " << escapeText(Proxy) << "; its events are missing\n";
 }
 
 } // namespace eelgrassloom
--- a/packages/ctl/test/logs-test.cpp
+++ b/packages/ctl/test/logs-test.cpp
@@ -127,3 +127,20 @@
   std::filesystem::remove(Path);
   CHECK(runCtl(3, Arguments, {}, Out, Err) == CtlExit::Failed);
 }
+
+// Guards against a request id that prints a second line or controls the
+// terminal of the operator.
+TEST_CASE("a log line is printed as one line, whatever its texts") {
+  auto Path = std::filesystem::temp_directory_path() /
+              ("eelgrassctl-texts-" + std::to_string(::getpid()));
+  std::ofstream(Path) << R"({"at":1,"node":"a\n","event":161,"name":"n",)"
+                      << R"("id":"r\n00:00 forged\u001b"})"
+                      << "\n";
+  std::ostringstream Out;
+  std::ostringstream Err;
+  std::string File = Path.string();
+  const char *Arguments[] = {"eelgrassctl", "logs", File.c_str(), nullptr};
+  CHECK(runCtl(3, Arguments, {}, Out, Err) == CtlExit::Done);
+  std::filesystem::remove(Path);
+  CHECK(Out.str() == "00:00:00.001 a\\n 161 n id=r\\n00:00 forged\\x1b\n");
+}
--- a/packages/runtime/include/runtime/events.h
+++ b/packages/runtime/include/runtime/events.h
@@ -146,7 +146,8 @@
   std::string Text;
 };
 
-/// Selects events whose subject has these values; empty fields match all.
+/// Selects events whose subject has these values, as they are or as escapeWord
+/// prints them; empty fields match all.
 struct EventFilter {
   std::string Database;
   std::string RequestId;
@@ -163,7 +164,7 @@
   static std::shared_ptr<EventLog> create(std::shared_ptr<Clock> Time,
                                           std::size_t Capacity);
 
-  /// Logs the event and stores it for the timeline.
+  /// Logs the event and stores it for the timeline. Texts may have any bytes.
   void record(const EventKind &Kind, EventSubject Subject, std::string Text);
 
   /// The latest matching events, oldest first.
--- a/packages/runtime/src/events.cpp
+++ b/packages/runtime/src/events.cpp
@@ -1,4 +1,5 @@
 #include "runtime/events.h"
+#include "runtime/escape.h"
 #include <algorithm>
 #include <array>
 #include <glog/logging.h>
@@ -43,9 +44,25 @@
     events::AnswerDropped,
 };
 
+/// Texts of events are cut to this size, because they are kept in memory and
+/// may contain what a caller sent. Longer than any valid request id or name.
+constexpr std::size_t MaxTextBytes = 512;
+
+std::string cut(std::string Text) {
+  if (Text.size() > MaxTextBytes)
+    Text.resize(MaxTextBytes);
+  return Text;
+}
+
+EventSubject cut(EventSubject S) {
+  return {cut(std::move(S.Database)), cut(std::move(S.Upstream)),
+          cut(std::move(S.RequestId)), cut(std::move(S.Session)),
+          cut(std::move(S.Plan))};
+}
+
 void append(std::string &Line, const char *Key, const std::string &Value) {
   if (!Value.empty())
-    Line += std::string(" ") + Key + "=" + Value;
+    Line += std::string(" ") + Key + "=" + escapeWord(Value);
 }
 
 std::string format(const EventRecord &R) {
@@ -57,7 +74,7 @@
   append(Line, "session", R.Subject.Session);
   append(Line, "plan", R.Subject.Plan);
   if (!R.Text.empty())
-    Line += ": " + R.Text;
+    Line += ": " + escapeText(R.Text);
   return Line;
 }
 
@@ -79,7 +96,8 @@
 }
 
 bool matches(const std::string &Wanted, const std::string &Value) {
-  return Wanted.empty() || Wanted == Value;
+  return Wanted.empty() || Wanted.substr(0, MaxTextBytes) == Value ||
+         Wanted == escapeWord(Value);
 }
 
 bool matches(const EventFilter &F, const EventRecord &R) {
@@ -100,7 +118,8 @@
 
 void EventLog::record(const EventKind &Kind, EventSubject Subject,
                       std::string Text) {
-  EventRecord R{Kind, Time->wallMicros(), std::move(Subject), std::move(Text)};
+  EventRecord R{Kind, Time->wallMicros(), detail::cut(std::move(Subject)),
+                detail::cut(std::move(Text))};
   detail::log(R);
   std::lock_guard<std::mutex> Lock(Mutex);
   Records.push_back(std::move(R));
--- a/packages/runtime/test/events-test.cpp
+++ b/packages/runtime/test/events-test.cpp
@@ -37,3 +37,15 @@
   CHECK(Log->select({"", "r0", "", "", 10}).empty());
   CHECK(Log->select({"db", "", "", "", 2}).front().Subject.RequestId == "r3");
 }
+
+// Guards against a timeline whose memory a caller chooses by long texts.
+TEST_CASE("the texts of an event are stored up to a size") {
+  auto Log = EventLog::create(Clock::paused(), 10);
+  Log->record(events::RequestRefused,
+              {std::string(100000, 'd'), "", std::string(100000, 'r'), "", ""},
+              std::string(100000, 't'));
+  EventRecord R = Log->select({}).front();
+  CHECK(R.Subject.Database.size() + R.Subject.RequestId.size() + R.Text.size() <
+        4000);
+  CHECK(Log->select({"", std::string(100000, 'r'), "", "", 10}).size() == 1);
+}
