Carry texts that callers and databases choose as bytes

Cause: a protobuf string that is not UTF-8 makes the receiver reject the whole message. An error text of a database was thus never received: its connection was closed at the timeout and the answer was UNKNOWN. A peer dropped such a message as malformed, and a request id that is not UTF-8 got a gRPC error.

An Event keeps strings, but with escaped texts, because JSON shows bytes as base64; for the same reason the status for operators omits the upstream's own id. Names in the configuration, proxy ids and addresses stay strings, which are checked where they enter.

Answers that come twice or with another id were dropped before as well.

--- a/packages/proxy/src/operatorstatus.cpp
+++ b/packages/proxy/src/operatorstatus.cpp
@@ -63,6 +63,11 @@
     U.set_staleness_ms(
         static_cast<std::int64_t>(It->second.staleness_us() / 1000));
   }
+  // The id that the upstream reports about itself may have any bytes, which the
+  // JSON of eelgrassctl shows as base64. The row has the configured id.
+  for (auto &U : *Answer.mutable_upstreams())
+    if (U.has_status())
+      U.mutable_status()->clear_upstream();
 }
 
 } // namespace eelgrassloom
--- a/packages/proxy/src/operatortimeline.cpp
+++ b/packages/proxy/src/operatortimeline.cpp
@@ -1,5 +1,6 @@
 #include "kernel/membership.h"
 #include "proxy/operators.h"
+#include "runtime/escape.h"
 #include <algorithm>
 #include <future>
 
@@ -24,12 +25,12 @@
   E.set_name(std::string(R.Kind.Name));
   E.set_at_us(R.AtMicros);
   E.set_proxy(Proxy);
-  E.set_database(R.Subject.Database);
-  E.set_upstream(R.Subject.Upstream);
-  E.set_request_id(R.Subject.RequestId);
-  E.set_session(R.Subject.Session);
-  E.set_plan(R.Subject.Plan);
-  E.set_text(R.Text);
+  E.set_database(escapeWord(R.Subject.Database));
+  E.set_upstream(escapeWord(R.Subject.Upstream));
+  E.set_request_id(escapeWord(R.Subject.RequestId));
+  E.set_session(escapeWord(R.Subject.Session));
+  E.set_plan(escapeWord(R.Subject.Plan));
+  E.set_text(escapeText(R.Text));
   return E;
 }
 
--- a/packages/proxy/test/upstream-test.cpp
+++ b/packages/proxy/test/upstream-test.cpp
@@ -13,9 +13,12 @@
 
 namespace {
 
-/// A gRPC server that answers each frame. Three statements select a fault:
+const char *const NotUtf8 = "\xff\n\xfe";
+
+/// A gRPC server that answers each frame. Some statements select a fault:
 /// "silent" gets no answer, "end" ends the stream, and "stray" first gets an
-/// answer with the id of another exchange.
+/// answer with the id of another exchange. "twice" gets its answer twice, and
+/// "bytes" an error text that is not UTF-8.
 class FakeServer : public upstream::v1::Upstream::Service {
 public:
   FakeServer() {
@@ -58,7 +61,14 @@
       Out.set_exchange_id(In.exchange_id());
       Out.set_result("answer to " + Statement);
       Out.mutable_status()->set_upstream("a");
+      if (Statement == "bytes") {
+        Out.set_code(upstream::v1::CODE_ERROR);
+        Out.set_message(NotUtf8);
+        Out.mutable_status()->set_upstream(NotUtf8);
+      }
       Stream->Write(Out);
+      if (Statement == "twice")
+        Stream->Write(Out);
     }
     return grpc::Status::OK;
   }
@@ -133,6 +143,27 @@
     CHECK(C.call(Text).Result == std::string("answer to ") + Text);
 }
 
+// Guards against a second answer to an exchange that is taken as the answer to
+// the next one.
+TEST_CASE("the grpc adapter drops a repeated answer") {
+  FakeServer S;
+  TestConnection C(S.Address);
+  for (const char *Text : {"twice", "one", "twice", "twice", "two"})
+    CHECK(C.call(Text).Result == std::string("answer to ") + Text);
+}
+
+// Guards against a connection that ends, or an answer that is lost, because of
+// a text that the upstream chose.
+TEST_CASE("texts of an upstream may have any bytes") {
+  FakeServer S;
+  TestConnection C(S.Address);
+  UpstreamReply R = C.call("bytes", seconds(2));
+  CHECK(R.Code == UpstreamCode::Error);
+  CHECK(R.Message == NotUtf8);
+  CHECK(R.Status.Id == NotUtf8);
+  CHECK(C.call("next").Result == "answer to next");
+}
+
 // Guards against reusing a connection whose exchange is unfinished, and against
 // a call whose handler never runs.
 TEST_CASE("a missed deadline and an ended stream make a connection unusable") {
--- a/packages/proxy/test/zmqpeers-test.cpp
+++ b/packages/proxy/test/zmqpeers-test.cpp
@@ -141,3 +141,93 @@
   CHECK(exchange(A, B.Address, seconds(10)) == PeerCode::Ok);
   B.Peers->stop();
 }
+
+// Guards against an answer that is taken for that of another exchange: one with
+// an unknown id, one that comes twice, and one that comes after the timeout.
+TEST_CASE("answers of peers are paired by their exchange id") {
+  Node A("a");
+  zmq::context_t Zmq;
+  zmq::socket_t Raw(Zmq, zmq::socket_type::router);
+  std::string Address = freeAddress();
+  Raw.bind("tcp://" + Address);
+  Raw.set(zmq::sockopt::rcvtimeo, 20000);
+  auto Send = [&](const zmq::message_t &Route, std::uint64_t Id,
+                  std::uint64_t Content) {
+    peer::v1::PeerMessage M;
+    M.set_fleet("fleet");
+    M.set_protocol_version(PeerProtocolVersion);
+    M.set_from("raw");
+    M.set_exchange_id(Id);
+    M.mutable_ack()->set_probe_id(Content);
+    Raw.send(zmq::buffer(Route.data(), Route.size()), zmq::send_flags::sndmore);
+    Raw.send(zmq::buffer(M.SerializeAsString()), zmq::send_flags::none);
+  };
+  std::vector<std::promise<std::uint64_t>> Answers(3);
+  for (auto &Answer : Answers)
+    A.Peers->request(Address, ping(), seconds(20),
+                     [&](PeerCode, const peer::v1::PeerMessage &M) {
+                       Answer.set_value(M.ack().probe_id());
+                     });
+  std::vector<std::uint64_t> Ids;
+  zmq::message_t Route;
+  for (std::size_t I = 0; I < Answers.size(); ++I) {
+    zmq::message_t Bytes;
+    REQUIRE(Raw.recv(Route));
+    REQUIRE(Raw.recv(Bytes));
+    peer::v1::PeerMessage M;
+    REQUIRE(M.ParseFromArray(Bytes.data(), static_cast<int>(Bytes.size())));
+    Ids.push_back(M.exchange_id());
+  }
+  // In reverse order, each twice, with strays between them.
+  for (std::size_t I = Ids.size(); I-- > 0;) {
+    Send(Route, Ids[I] + 1000, 99);
+    Send(Route, Ids[I], I);
+    Send(Route, Ids[I], 98);
+  }
+  for (std::size_t I = 0; I < Answers.size(); ++I)
+    CHECK(Answers[I].get_future().get() == I);
+  auto Late = [&] {
+    return A.Meters->counter("eelgrassloom_peer_answers_late_total", "")
+        .Value();
+  };
+  for (int I = 0; I < 1000 && Late() < 6; ++I)
+    std::this_thread::sleep_for(milliseconds(5));
+  CHECK(Late() == 6);
+  A.Peers->stop();
+}
+
+// Guards against a message with a text that is not UTF-8, chosen by a caller or
+// a database, that a peer drops as malformed, so that the answer is unknown.
+TEST_CASE("answers and events with any bytes pass between peers") {
+  Node A("a");
+  Node B("b");
+  const std::string Text = "\xff\n\xfe";
+  B.Peers->setReceiver(
+      [&](const peer::v1::PeerMessage &M, PeerResponder Respond) {
+        peer::v1::PeerMessage Answer;
+        auto &Run = *Answer.mutable_forward_answer()->mutable_answer();
+        Run.set_request_id(M.forward().request().request_id());
+        Run.set_message(Text);
+        Run.set_upstream(Text);
+        Answer.mutable_forward_answer()->mutable_status()->set_upstream(Text);
+        Respond(Answer);
+      });
+  peer::v1::PeerMessage M;
+  auto &Run = *M.mutable_forward()->mutable_request();
+  Run.set_request_id(Text);
+  Run.set_database(Text);
+  Run.set_workload_class(Text);
+  Run.set_transaction(Text);
+  std::promise<peer::v1::PeerMessage> Promise;
+  A.Peers->request(B.Address, M, seconds(5),
+                   [&](PeerCode, const peer::v1::PeerMessage &Answer) {
+                     Promise.set_value(Answer);
+                   });
+  auto Answer = Promise.get_future().get();
+  REQUIRE(Answer.has_forward_answer());
+  CHECK(Answer.forward_answer().answer().request_id() == Text);
+  CHECK(Answer.forward_answer().answer().message() == Text);
+  CHECK(B.dropped() == 0);
+  A.Peers->stop();
+  B.Peers->stop();
+}
--- /dev/null
+++ b/tests/fleet/answers-test.cpp
@@ -0,0 +1,92 @@
+/// \file
+/// Answers to unusual requests on a fleet of real processes: texts that are not
+/// UTF-8.
+
+#include "client.h"
+#include "fleet.h"
+#include <doctest/doctest.h>
+#include <fstream>
+
+using namespace eelgrassloom;
+using namespace eelgrassloom::fleet;
+using namespace std::chrono_literals;
+using namespace eelgrassloom::caller::v1;
+
+namespace {
+
+/// Three proxies, each in the failure domain of one upstream of db1, so that
+/// two of three forward a write to the owner of the primary.
+Topology threeProxies() {
+  Topology T;
+  T.Config = makeConfiguration({"d1", "d2", "d3"}, 1, 5);
+  T.Proxies = {{"p1", "d1"}, {"p2", "d2"}, {"p3", "d3"}};
+  T.Relay = false;
+  return T;
+}
+
+/// A write that the simulated database rejects with \p Message.
+RunRequest failing(const std::string &Message) {
+  standin::v1::Statement S;
+  S.set_key("k");
+  S.set_fail(Message);
+  return request("db1", "urgent", S);
+}
+
+std::string describe(const RunAnswer &A) {
+  return Outcome_Name(A.outcome()) + " " + Reason_Name(A.reason()) + " " +
+         A.message().substr(0, 200);
+}
+
+void expect(const RunAnswer &A, Outcome O, Reason R) {
+  CAPTURE(describe(A));
+  CHECK(A.outcome() == O);
+  CHECK(A.reason() == R);
+}
+
+} // namespace
+
+// Guards against an error text of a database that ends a connection or is
+// answered as unknown, because a protobuf string rejects what is not UTF-8.
+TEST_CASE("an error text that is not UTF-8 reaches the caller unchanged") {
+  Fleet F(threeProxies());
+  REQUIRE(F.awaitServing(10s));
+  const std::string Text("no \xff\xfe table\n\0 x", 15);
+  for (const char *Proxy : {"p1", "p2", "p3"}) {
+    CallerSession Session(F.proxyAddress(Proxy));
+    for (int N = 0; N < 5; ++N) {
+      RunAnswer A = Session.run(failing(Text));
+      expect(A, OUTCOME_FAILED, REASON_DATABASE_ERROR);
+      CHECK(A.message() == Text);
+    }
+  }
+}
+
+// Guards against a gRPC error in place of an answer for a request id that is
+// not UTF-8, against a proxy whose timeline can't be read any more because of
+// it, and against a forged line in the log.
+TEST_CASE("a request id may have any bytes") {
+  Fleet F(threeProxies());
+  REQUIRE(F.awaitServing(10s));
+  const std::string Id = "\xff\nE1 started: forged";
+  CallerSession Session(F.proxyAddress("p1"));
+  RunRequest Write = request("db1", "urgent", put("k", "v"));
+  Write.set_request_id(Id);
+  RunAnswer A = Session.run(Write);
+  expect(A, OUTCOME_OK, REASON_NONE);
+  CHECK(A.request_id() == Id);
+  Write.set_issued_at_ms(1);
+  expect(Session.run(Write), OUTCOME_UNKNOWN, REASON_ID_EXPIRED);
+  operators::v1::TimelineRequest Request;
+  Request.set_request_id(Id);
+  using Operator = operators::v1::Operator;
+  auto Timeline = F.call<Operator>("p2", &Operator::Stub::Timeline, Request);
+  CHECK(Timeline.unreachable_size() == 0);
+  REQUIRE(Timeline.events_size() > 0);
+  CHECK(Timeline.events(0).request_id() ==
+        "\\xff\\nE1\\x20started:\\x20forged");
+  std::ifstream Log(F.directory() + "/p1.log");
+  unsigned Forged = 0;
+  for (std::string Line; std::getline(Log, Line);)
+    Forged += Line.rfind("E1 started", 0) == 0 ? 1 : 0;
+  CHECK(Forged == 0);
+}
