Refuse a request id that is recorded for another request

Cause: the answer to a request id was found by the id alone. A caller with an id that another caller had used got that caller's result, marked as recorded, and its own write or transaction was dropped without notice.

Change: the upstream protocol records the issue time and the statement with the id; CODE_ID_REUSED answers an id that is recorded with others, and the caller gets FAILED with REASON_REQUEST_ID_REUSED, without a retry. The statements of a commit are not compared, because a transaction that is tried again may depend on what it read; its issue time is. The simulated database does the same. The test "a write whose minimum position was lost does not run" asked for the record of "a" with the statement "b"; it now sends the statement of the record, with the same checks.

Measured: before, a second caller got OK and the first caller's result for another statement, the same statement issued at another time, and a commit, in scenario-tests, datapathsession-test and database-test. All pass now.

--- a/packages/proxy/include/proxy/upstream.h
+++ b/packages/proxy/include/proxy/upstream.h
@@ -78,6 +78,8 @@
   NoTransaction,
   /// MinPosition is not part of the history of the upstream.
   PositionLost,
+  /// The request id is recorded for another request; nothing changed.
+  IdReused,
   /// No answer within the timeout; the call may have run.
   TimedOut,
   /// The connection ended before the answer; the call may have run.
--- a/packages/proxy/src/answers.cpp
+++ b/packages/proxy/src/answers.cpp
@@ -92,6 +92,9 @@
   case UpstreamCode::PositionLost:
     return refused(REASON_POSITION_LOST,
                    "a write that the session has seen was lost in a failover");
+  case UpstreamCode::IdReused:
+    return failed(REASON_REQUEST_ID_REUSED,
+                  "the request id is recorded for another request");
   case UpstreamCode::TimedOut:
   case UpstreamCode::ConnectionLost:
     break;
--- a/packages/proxy/src/grpcupstream.cpp
+++ b/packages/proxy/src/grpcupstream.cpp
@@ -45,6 +45,8 @@
     return UpstreamCode::NoTransaction;
   case upstream::v1::CODE_POSITION_LOST:
     return UpstreamCode::PositionLost;
+  case upstream::v1::CODE_ID_REUSED:
+    return UpstreamCode::IdReused;
   default:
     return UpstreamCode::Error;
   }
--- a/packages/proxy/test/datapathsession-test.cpp
+++ b/packages/proxy/test/datapathsession-test.cpp
@@ -107,3 +107,20 @@
   RunAnswer A = F.run("p1", F.read("r"));
   CHECK(A.outcome() != OUTCOME_OK);
 }
+
+// Guards against a caller who gets the answer of another caller, because both
+// chose the same request id, and against a retry of such a request.
+TEST_CASE("a request id of another statement is an error") {
+  DataPathFixture F(OneEach);
+  RunRequest First = F.write("w1");
+  expect(F.run("p1", First), OUTCOME_OK, REASON_NONE);
+  RunRequest Other = F.write("w2");
+  Other.set_request_id(First.request_id());
+  Other.set_non_idempotent(false);
+  RunAnswer A = F.run("p2", Other);
+  expect(A, OUTCOME_FAILED, REASON_REQUEST_ID_REUSED);
+  CHECK(A.result().empty());
+  CHECK(F.upstream("a").executed("w2") == 1);
+  CHECK(F.upstream("a").logged("w2") == 0);
+  CHECK(F.run("p2", First).recorded());
+}
--- a/packages/proxy/test/fakes-test.cpp
+++ b/packages/proxy/test/fakes-test.cpp
@@ -17,6 +17,10 @@
   R.Code = UpstreamCode::Ok;
   if (auto It = S.RecordedRequests.find(C.RequestId);
       !C.RequestId.empty() && It != S.RecordedRequests.end()) {
+    if (It->second.Statement != Statement) {
+      R.Code = UpstreamCode::IdReused;
+      return R;
+    }
     R.Recorded = true;
     R.At = It->second.At;
     R.Result = "did " + It->second.Statement;
--- a/tests/fleet/answers-test.cpp
+++ b/tests/fleet/answers-test.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Answers to unusual requests on a fleet of real processes: texts that are not
-/// UTF-8.
+/// UTF-8, and request ids used twice.
 
 #include "client.h"
 #include "fleet.h"
@@ -90,3 +90,43 @@
     Forged += Line.rfind("E1 started", 0) == 0 ? 1 : 0;
   CHECK(Forged == 0);
 }
+
+// Guards against a caller who gets the answer of another caller, and whose own
+// write is dropped, because both use the same request id.
+TEST_CASE("a request id of another statement is an error, not its answer") {
+  Fleet F(threeProxies());
+  REQUIRE(F.awaitServing(10s));
+  CallerSession One(F.proxyAddress("p1"));
+  CallerSession Two(F.proxyAddress("p2"));
+  RunRequest First = request("db1", "urgent", put("mine", "secret"));
+  RunAnswer FirstAnswer = One.run(First);
+  REQUIRE(FirstAnswer.outcome() == OUTCOME_OK);
+  RunRequest Other = request("db1", "urgent", put("other", "x"));
+  Other.set_request_id(First.request_id());
+  Other.set_issued_at_ms(First.issued_at_ms());
+  RunAnswer A = Two.run(Other);
+  expect(A, OUTCOME_FAILED, REASON_REQUEST_ID_REUSED);
+  CHECK(A.result().empty());
+  // The same statement that another caller issued at another time.
+  Other = First;
+  Other.set_issued_at_ms(First.issued_at_ms() + 1);
+  expect(Two.run(Other), OUTCOME_FAILED, REASON_REQUEST_ID_REUSED);
+  // A transaction of another caller.
+  RunAnswer Begun = Two.run(step("db1", "urgent", STEP_BEGIN));
+  REQUIRE(Begun.outcome() == OUTCOME_OK);
+  RunRequest InTransaction = request("db1", "urgent", put("other", "y"));
+  InTransaction.set_transaction(Begun.transaction());
+  REQUIRE(Two.run(InTransaction).outcome() == OUTCOME_OK);
+  RunRequest Commit = step("db1", "urgent", STEP_COMMIT, Begun.transaction());
+  Commit.set_request_id(First.request_id());
+  Commit.set_issued_at_ms(First.issued_at_ms() + 1);
+  expect(Two.run(Commit), OUTCOME_FAILED, REASON_REQUEST_ID_REUSED);
+  CHECK(valueOf(Two.run(request("db1", "urgent", get("other"))).result())
+            .data()
+            .empty());
+  // A retry gets the recorded answer, also at another proxy.
+  RunAnswer Retry = Two.run(First);
+  expect(Retry, OUTCOME_OK, REASON_NONE);
+  CHECK(Retry.recorded());
+  CHECK(Retry.result() == FirstAnswer.result());
+}
--- a/tests/standin/src/database.cpp
+++ b/tests/standin/src/database.cpp
@@ -73,6 +73,20 @@
   return false;
 }
 
+/// Whether a request is the one that committed the entry. The statements of a
+/// transaction that is tried again may differ, so those of a commit, for which
+/// \p Statement is null, are not compared.
+bool sameRequest(const v1::LogEntry &Entry, std::int64_t IssuedAtMs,
+                 const std::string *Statement) {
+  if (Entry.issued_at_ms() != IssuedAtMs)
+    return false;
+  if (!Statement)
+    return true;
+  v1::Statement S;
+  return Entry.statements_size() == 1 && S.ParseFromString(*Statement) &&
+         Entry.statements(0).SerializeAsString() == S.SerializeAsString();
+}
+
 } // namespace
 
 std::int64_t monotonicUs() {
@@ -204,8 +218,8 @@
 ServerFrame Database::write(const Execute &Request, std::int64_t NowMs) {
   ServerFrame F;
   if (!mayWrite(Request.term(), F) ||
-      findRecordedRequest(Request.request_id(), Request.issued_at_ms(), NowMs,
-                          F))
+      findRecordedRequest(Request.request_id(), Request.issued_at_ms(),
+                          &Request.statement(), NowMs, F))
     return F;
   // A recorded answer is given even if the session's position was lost.
   if (Code C = holds(Request.min_position()); C != CODE_OK)
@@ -267,9 +281,10 @@
 ServerFrame Database::commit(const Transaction &T, const Commit &Request,
                              std::int64_t NowMs) {
   ServerFrame F;
-  if (T.Write && (!mayWrite(T.Term, F) ||
-                  findRecordedRequest(Request.request_id(),
-                                      Request.issued_at_ms(), NowMs, F)))
+  if (T.Write &&
+      (!mayWrite(T.Term, F) ||
+       findRecordedRequest(Request.request_id(), Request.issued_at_ms(),
+                           nullptr, NowMs, F)))
     return F;
   for (const auto &[Key, Changed] : T.ReadSet)
     if (!samePosition(cell(Key).Changed, Changed)) {
@@ -380,7 +395,9 @@
 }
 
 bool Database::findRecordedRequest(const std::string &RequestId,
-                                   std::int64_t IssuedAtMs, std::int64_t NowMs,
+                                   std::int64_t IssuedAtMs,
+                                   const std::string *Statement,
+                                   std::int64_t NowMs,
                                    ServerFrame &Answer) const {
   if (RequestId.empty())
     return false;
@@ -392,6 +409,10 @@
   if (It == RecordedRequests.end() || Fault == InjectedFault::ForgetRequests)
     return false;
   const v1::LogEntry &Entry = Log[It->second - 1];
+  if (!sameRequest(Entry, IssuedAtMs, Statement)) {
+    Answer = frame(CODE_ID_REUSED);
+    return true;
+  }
   Answer = frame(CODE_OK);
   Answer.set_result(Entry.result());
   *Answer.mutable_position() = Entry.position();
--- a/tests/standin/src/database.h
+++ b/tests/standin/src/database.h
@@ -120,9 +120,12 @@
   /// raised; otherwise \p Rejection is the answer to send.
   bool mayWrite(std::uint64_t Term, ServerFrame &Rejection) const;
   /// Whether the request must not run, because its id is recorded or expired;
-  /// \p Answer is then the recorded answer or CODE_ID_EXPIRED.
+  /// \p Answer is then the recorded answer, CODE_ID_REUSED if the record is
+  /// that of another request, or CODE_ID_EXPIRED. \p Statement is null for a
+  /// commit.
   bool findRecordedRequest(const std::string &RequestId,
-                           std::int64_t IssuedAtMs, std::int64_t NowMs,
+                           std::int64_t IssuedAtMs,
+                           const std::string *Statement, std::int64_t NowMs,
                            ServerFrame &Answer) const;
   const Cell &cell(const std::string &Key) const;
   /// Gives the entry the next position in the term of this server and appends
--- a/tests/standin/test/database-test.cpp
+++ b/tests/standin/test/database-test.cpp
@@ -202,7 +202,9 @@
   CHECK(Db.write(E, 1000).code() == CODE_POSITION_LOST);
   CHECK(content(Db) == "a");
   E.set_request_id("id");
+  E.set_statement(append("k", "a"));
   CHECK(Db.write(E, 1000).recorded());
+  E.set_statement(append("k", "b"));
   E.set_request_id("other");
   *E.mutable_min_position() = at(1, 2);
   CHECK(Db.write(E, 1000).code() == CODE_OK);
@@ -317,3 +319,40 @@
   CHECK(content(Restored) == "b");
   CHECK(write(Restored, 5, "b", "id").recorded());
 }
+
+// Guards against a caller who gets the answer of another caller, because both
+// chose the same request id.
+TEST_CASE("a request id of another request is an error") {
+  Database Db("a");
+  elect(Db, 1);
+  write(Db, 1, "a", "id");
+  CHECK(write(Db, 1, "b", "id").code() == CODE_ID_REUSED);
+  Execute E;
+  E.set_write(true);
+  E.set_term(1);
+  E.set_statement(append("k", "a"));
+  E.set_request_id("id");
+  E.set_issued_at_ms(1001);
+  CHECK(Db.write(E, 1001).code() == CODE_ID_REUSED);
+  Begin B;
+  B.set_write(true);
+  B.set_term(1);
+  Transaction T;
+  Db.begin(B, T);
+  E.set_statement(append("k", "c"));
+  Db.run(T, E);
+  Commit C;
+  C.set_request_id("id");
+  C.set_issued_at_ms(1001);
+  CHECK(Db.commit(T, C, 1001).code() == CODE_ID_REUSED);
+  CHECK(content(Db) == "a");
+  // The statements of a transaction that is tried again may differ, because
+  // they may depend on what it read.
+  C.set_request_id("commit");
+  CHECK(Db.commit(T, C, 1001).code() == CODE_OK);
+  Db.begin(B, T);
+  E.set_statement(append("k", "d"));
+  Db.run(T, E);
+  CHECK(Db.commit(T, C, 1001).recorded());
+  CHECK(content(Db) == "ac");
+}
