Answer requests and results that are too large

Cause: gRPC receives 4 MiB by default. A larger request got a gRPC error, which means an unknown outcome, and so did a result that the caller could not receive, although a read had changed nothing.

Change: requests and results have at most 4 MiB - 64 KiB, names 256 bytes. A larger request of up to 16 MiB is refused with REASON_TOO_LARGE, a read with a larger result fails, and a write that ran is UNKNOWN with that reason; its session moves to the position of the write.

--- a/packages/proxy/src/answers.cpp
+++ b/packages/proxy/src/answers.cpp
@@ -1,4 +1,5 @@
 #include "answers.h"
+#include "limits.h"
 #include "wirestatus.h"
 #include <algorithm>
 
@@ -104,6 +105,16 @@
                                              : "the connection was lost");
 }
 
+RunAnswer limitResult(RunAnswer Answer, bool Write) {
+  if (Answer.result().size() <= MaxResultBytes)
+    return Answer;
+  std::string Problem = "the result has " +
+                        std::to_string(Answer.result().size()) +
+                        " bytes, more than " + std::to_string(MaxResultBytes);
+  return Write ? unknown(REASON_TOO_LARGE, "the write ran, but " + Problem)
+               : failed(REASON_TOO_LARGE, std::move(Problem));
+}
+
 RunAnswer notConfirmed(bool Rejected) {
   return unknown(REASON_NOT_CONFIRMED,
                  Rejected
--- a/packages/proxy/src/answers.h
+++ b/packages/proxy/src/answers.h
@@ -25,6 +25,9 @@
 caller::v1::RunAnswer notRun(const TaskResult &R);
 /// Answer for an exchange outside transactions, before any confirmation.
 caller::v1::RunAnswer answerOf(const UpstreamReply &R);
+/// Replaces an answer whose result the caller may not be able to receive.
+/// \p Write: the statement has changed something.
+caller::v1::RunAnswer limitResult(caller::v1::RunAnswer Answer, bool Write);
 /// Answer for a write that ran but was not confirmed. \p Rejected: its term has
 /// ended; otherwise the confirmations did not arrive in time.
 caller::v1::RunAnswer notConfirmed(bool Rejected);
--- a/packages/proxy/src/process.cpp
+++ b/packages/proxy/src/process.cpp
@@ -1,4 +1,5 @@
 #include "proxy/process.h"
+#include "limits.h"
 #include "proxy/callerservice.h"
 #include "proxy/control.h"
 #include "proxy/operators.h"
@@ -127,6 +128,7 @@
   grpc::EnableDefaultHealthCheckService(true);
   int Port = 0;
   grpc::ServerBuilder Builder;
+  Builder.SetMaxReceiveMessageSize(static_cast<int>(MaxReceivedBytes));
   // Listening must fail if another process uses the port.
   Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
   Builder.AddListeningPort(P.Options.Listen, grpc::InsecureServerCredentials(),
--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -378,7 +378,9 @@
     return;
   }
   case OUTCOME_UNKNOWN:
-    if (A.reason() == REASON_ID_EXPIRED)
+    if (A.reason() == REASON_TOO_LARGE)
+      advanceSession(*C, F);
+    if (A.reason() == REASON_ID_EXPIRED || A.reason() == REASON_TOO_LARGE)
       finish(C, A);
     else
       // If the term was not confirmed, the retry needs a snapshot with a newer
--- a/packages/proxy/src/statementexecutor.cpp
+++ b/packages/proxy/src/statementexecutor.cpp
@@ -396,6 +396,7 @@
 void StatementExecutor::finish(const ExecutionRef &E, RunAnswer Answer,
                                const TaskResult *R, Duration Staleness) {
   peer::v1::ForwardAnswer F;
+  Answer = limitResult(std::move(Answer), E->write());
   Answer.set_request_id(E->run().request_id());
   if (R) {
     F.set_not_owner(R->Outcome == TaskOutcome::NotOwner);
--- a/packages/proxy/src/validate.cpp
+++ b/packages/proxy/src/validate.cpp
@@ -1,5 +1,7 @@
 #include "validate.h"
 #include "answers.h"
+#include "limits.h"
+#include <algorithm>
 
 namespace eelgrassloom::detail {
 
@@ -8,6 +10,7 @@
 namespace {
 
 constexpr std::size_t MaxRequestIdBytes = 256;
+constexpr std::size_t MaxNameBytes = 256;
 constexpr std::uint32_t MaxDeadlineMillis = 3'600'000;
 
 /// Describes what is wrong with the request; empty if it is well-formed.
@@ -18,6 +21,9 @@
     return "database is empty";
   if (R.workload_class().empty())
     return "workload_class is empty";
+  if (std::max(R.database().size(), R.workload_class().size()) > MaxNameBytes)
+    return "database or workload_class is longer than " +
+           std::to_string(MaxNameBytes) + " bytes";
   if (!Step_IsValid(R.step()))
     return "step " + std::to_string(R.step()) + " does not exist";
   if (!Ends && R.access() != ACCESS_READ && R.access() != ACCESS_WRITE)
@@ -49,6 +55,10 @@
 
 std::optional<RunAnswer> validate(const RunRequest &R, Duration Retention,
                                   std::int64_t WallMicros) {
+  if (R.ByteSizeLong() > MaxRequestBytes)
+    return refused(REASON_TOO_LARGE,
+                   "the request has " + std::to_string(R.ByteSizeLong()) +
+                       " bytes, more than " + std::to_string(MaxRequestBytes));
   std::string Problem = problem(R);
   if (!Problem.empty())
     return refused(REASON_BAD_REQUEST, std::move(Problem));
--- a/packages/proxy/test/datapathsession-test.cpp
+++ b/packages/proxy/test/datapathsession-test.cpp
@@ -124,3 +124,29 @@
   CHECK(F.upstream("a").logged("w2") == 0);
   CHECK(F.run("p2", First).recorded());
 }
+
+// Guards against a message that a caller or an upstream can't receive, which
+// ends as an unknown outcome or with a closed connection.
+TEST_CASE("a request or a result that is too large gets a clear answer") {
+  DataPathFixture F(OneEach);
+  RunRequest Large = F.write(std::string(4 << 20, 'x'));
+  Large.set_request_id("large");
+  for (const char *Proxy : {"p1", "p2"})
+    expect(F.run(Proxy, Large), OUTCOME_REFUSED_NOT_RUN, REASON_TOO_LARGE);
+  F.upstream("a").ResultBytes = 5 << 20;
+  for (const char *Proxy : {"p1", "p2"}) {
+    RunRequest Write = F.write(std::string("w-") + Proxy);
+    RunAnswer A = F.run(Proxy, Write);
+    expect(A, OUTCOME_UNKNOWN, REASON_TOO_LARGE);
+    CHECK(A.result().empty());
+    CHECK(F.upstream("a").logged(Write.statement()) == 1);
+    // The session has the position of the write.
+    CHECK(A.token() != F.run(Proxy, F.read("r")).token());
+    expect(F.run(Proxy, F.read("r")), OUTCOME_FAILED, REASON_TOO_LARGE);
+  }
+  RunRequest Named = F.read("r");
+  Named.set_database(std::string(1000, 'd'));
+  RunAnswer A = F.run("p1", Named);
+  expect(A, OUTCOME_REFUSED_NOT_RUN, REASON_BAD_REQUEST);
+  CHECK(A.message().size() < 200);
+}
--- a/packages/proxy/test/fakes-test.cpp
+++ b/packages/proxy/test/fakes-test.cpp
@@ -94,6 +94,8 @@
   default:
     break;
   }
+  if (S.ResultBytes > 0 && R.Code == UpstreamCode::Ok)
+    R.Result.assign(S.ResultBytes, 'x');
   R.Status = S.Status;
   return R;
 }
--- a/packages/proxy/test/fakes.h
+++ b/packages/proxy/test/fakes.h
@@ -44,6 +44,8 @@
   /// Log entries by request id.
   std::map<std::string, FakeLogEntry> RecordedRequests;
   Duration ServiceTime = milliseconds(2);
+  /// If positive, the size of every result.
+  std::size_t ResultBytes = 0;
   unsigned ConnectionLimit = 30;
   /// If false, attempts to connect run into their timeout.
   bool AcceptsConnections = true;
--- a/tests/fleet/answers-test.cpp
+++ b/tests/fleet/answers-test.cpp
@@ -1,11 +1,12 @@
 /// \file
 /// Answers to unusual requests on a fleet of real processes: texts that are not
-/// UTF-8, and request ids used twice.
+/// UTF-8, request ids used twice, and large statements and results.
 
 #include "client.h"
 #include "fleet.h"
 #include <doctest/doctest.h>
 #include <fstream>
+#include <future>
 
 using namespace eelgrassloom;
 using namespace eelgrassloom::fleet;
@@ -14,6 +15,11 @@
 
 namespace {
 
+constexpr std::size_t MiB = std::size_t{1} << 20;
+/// Two items of this size exceed the largest result. Larger ones only keep the
+/// simulated database busy, which copies whole values under its mutex.
+constexpr std::size_t HalfResult = 2 * MiB + MiB / 8;
+
 /// Three proxies, each in the failure domain of one upstream of db1, so that
 /// two of three forward a write to the owner of the primary.
 Topology threeProxies() {
@@ -43,6 +49,20 @@
   CHECK(A.reason() == R);
 }
 
+/// Runs a request on a channel with the default limits of gRPC.
+RunAnswer runWithDefaultLimits(Fleet &F, const std::string &Proxy,
+                               const RunRequest &Request) {
+  grpc::ChannelArguments Arguments;
+  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  auto Stub = caller::v1::Caller::NewStub(grpc::CreateCustomChannel(
+      F.proxyAddress(Proxy), grpc::InsecureChannelCredentials(), Arguments));
+  grpc::ClientContext Context;
+  RunAnswer Answer;
+  grpc::Status S = Stub->Run(&Context, Request, &Answer);
+  CHECK_MESSAGE(S.ok(), S.error_message());
+  return Answer;
+}
+
 } // namespace
 
 // Guards against an error text of a database that ends a connection or is
@@ -130,3 +150,46 @@
   CHECK(Retry.recorded());
   CHECK(Retry.result() == FirstAnswer.result());
 }
+
+// Guards against a gRPC error, which means an unknown outcome, in place of an
+// answer, and against a large message that ends the work of other callers.
+TEST_CASE("statements and results that are too large get a clear answer") {
+  Fleet F(threeProxies());
+  REQUIRE(F.awaitServing(10s));
+  std::atomic<bool> Stop = false;
+  auto Others = std::async(std::launch::async, [&] {
+    CallerSession Session(F.proxyAddress("p2"));
+    unsigned Failed = 0;
+    while (!Stop)
+      Failed +=
+          Session.run(request("db1", "urgent", append("n", "x"))).outcome() ==
+                  OUTCOME_OK
+              ? 0
+              : 1;
+    return Failed;
+  });
+  auto Large = [](const char *Key, std::size_t Bytes) {
+    RunRequest R =
+        request("db1", "urgent", append(Key, std::string(Bytes, 'x')));
+    R.set_deadline_ms(10000);
+    return R;
+  };
+  for (const char *Proxy : {"p1", "p2", "p3"}) {
+    std::string Key = std::string("large-") + Proxy;
+    // The answer to the second append has both items.
+    expect(runWithDefaultLimits(F, Proxy, Large(Key.c_str(), HalfResult)),
+           OUTCOME_OK, REASON_NONE);
+    expect(runWithDefaultLimits(F, Proxy, Large(Key.c_str(), HalfResult)),
+           OUTCOME_UNKNOWN, REASON_TOO_LARGE);
+    RunRequest Read = request("db1", "urgent", get(Key));
+    Read.set_deadline_ms(10000);
+    expect(runWithDefaultLimits(F, Proxy, Read), OUTCOME_FAILED,
+           REASON_TOO_LARGE);
+    // Sizes around the default limit of gRPC, which counts the whole message.
+    for (std::size_t Bytes : {4 * MiB - 300, 4 * MiB - 100, 4 * MiB, 6 * MiB})
+      expect(runWithDefaultLimits(F, Proxy, Large("k", Bytes)),
+             OUTCOME_REFUSED_NOT_RUN, REASON_TOO_LARGE);
+  }
+  Stop = true;
+  CHECK(Others.get() == 0);
+}
