Return the session token with every refusal

Cause: a request was validated before its token was decoded, so the answer to a malformed or an expired request returned an empty token. A session that went on with it, as the interface says, no longer saw its own writes.

Change: the token is decoded first.

Measured: before, "a refused request does not reset the session" failed for BAD_REQUEST.

--- a/packages/proxy/src/requestrouter.cpp
+++ b/packages/proxy/src/requestrouter.cpp
@@ -86,14 +86,15 @@
   const auto *Class = findClass(S.Config, R.workload_class());
   if (Class)
     C.WorkPriority = Class->WorkPriority;
-  if (auto Invalid =
-          validate(R, Options.RequestRetention, P->Context.Time->wallMicros()))
-    return Invalid;
+  // Comes before all other refusals, because they return the token too.
   auto Token = decode(R.token());
   if (!Token)
     return refused(REASON_BAD_TOKEN, "the session token is damaged: " +
                                          toString(Token.findings()));
   C.Token = std::move(Token).value();
+  if (auto Invalid =
+          validate(R, Options.RequestRetention, P->Context.Time->wallMicros()))
+    return Invalid;
   if (C.Token.Session.empty())
     C.Token.Session = toHex(randomId());
   C.SessionPosition = positionOf(C.Token, R.database());
--- a/packages/proxy/test/datapathsession-test.cpp
+++ b/packages/proxy/test/datapathsession-test.cpp
@@ -108,6 +108,19 @@
   CHECK(A.outcome() != OUTCOME_OK);
 }
 
+// Guards against a session that forgets its own writes because the answer to a
+// malformed request returns a token without positions.
+TEST_CASE("a refused request does not reset the session") {
+  DataPathFixture F;
+  RunAnswer Written = F.run("p1", F.write("w1"));
+  RunRequest Bad = F.write("w2");
+  Bad.set_token(Written.token());
+  Bad.clear_access();
+  RunAnswer Refused = F.run("p1", Bad);
+  expect(Refused, OUTCOME_REFUSED_NOT_RUN, REASON_BAD_REQUEST);
+  CHECK(Refused.token() == Written.token());
+}
+
 // Guards against a caller who gets the answer of another caller, because both
 // chose the same request id, and against a retry of such a request.
 TEST_CASE("a request id of another statement is an error") {
--- a/tests/fleet/answers-test.cpp
+++ b/tests/fleet/answers-test.cpp
@@ -94,8 +94,10 @@
   RunAnswer A = Session.run(Write);
   expect(A, OUTCOME_OK, REASON_NONE);
   CHECK(A.request_id() == Id);
+  const std::string Token = Session.Token;
   Write.set_issued_at_ms(1);
   expect(Session.run(Write), OUTCOME_UNKNOWN, REASON_ID_EXPIRED);
+  CHECK(Session.Token == Token);
   operators::v1::TimelineRequest Request;
   Request.set_request_id(Id);
   using Operator = operators::v1::Operator;
