Run a statement only on an upstream of its database

Cause: the owner of an upstream did not check that the upstream belongs to the database of a forwarded statement. With another configuration than the proxy that forwarded it, the owner ran the statement in the other database. An upstream that moved to another database kept connections opened for the old one.

Change: a pool is found by upstream and database, and is replaced when the database of its upstream changes.

Measured: before, the statement ran (executed 1, not 0) and no connection was opened again. Both tests pass now.

--- a/packages/proxy/src/statementexecutor.cpp
+++ b/packages/proxy/src/statementexecutor.cpp
@@ -71,7 +71,7 @@
     runStep(E);
     return;
   }
-  E->Pool = pool(Request.upstream());
+  E->Pool = pool(Request.upstream(), R.database());
   if (!E->Pool) {
     TaskResult NotOwned;
     NotOwned.Outcome = TaskOutcome::NotOwner;
@@ -433,10 +433,14 @@
 }
 
 std::shared_ptr<UpstreamPool>
-StatementExecutor::pool(const UpstreamId &Id) const {
+StatementExecutor::pool(const UpstreamId &Id,
+                        const std::string &Database) const {
   std::lock_guard<std::mutex> Lock(Mutex);
   auto It = PooledUpstreams.find(Id);
-  return It == PooledUpstreams.end() ? nullptr : It->second.Pool;
+  // The proxy that chose the upstream may have another configuration.
+  if (It == PooledUpstreams.end() || It->second.Database != Database)
+    return nullptr;
+  return It->second.Pool;
 }
 
 StatementExecutor::PooledUpstream
@@ -480,7 +484,7 @@
         if (It == S->Owners.end() || It->second.Owner != OwnId)
           continue;
         auto Node = Old.extract(U.Id);
-        if (!Node.empty() &&
+        if (!Node.empty() && Node.mapped().Database == D.Name &&
             Node.mapped().Pool->target().Address == U.Address) {
           Kept.emplace_back(Node.mapped().Pool, U);
           PooledUpstreams.insert(std::move(Node));
--- a/packages/proxy/src/statementexecutor.h
+++ b/packages/proxy/src/statementexecutor.h
@@ -50,7 +50,10 @@
     std::shared_ptr<StatusProber> Prober;
   };
 
-  std::shared_ptr<UpstreamPool> pool(const UpstreamId &Id) const;
+  /// The pool of an owned upstream; null if this proxy does not own it or knows
+  /// it in another database.
+  std::shared_ptr<UpstreamPool> pool(const UpstreamId &Id,
+                                     const std::string &Database) const;
   PooledUpstream startUpstream(const Upstream &U, const std::string &Database,
                                const Snapshot &S);
   void updatePrimaryProbes(const Snapshot &S);
--- a/packages/proxy/test/datapathtransaction-test.cpp
+++ b/packages/proxy/test/datapathtransaction-test.cpp
@@ -140,3 +140,43 @@
   // connections for confirmations and for probes of the primary.
   CHECK(F.upstream("a").open() <= 10);
 }
+
+// Guards against a statement that runs in another database than its caller
+// named, because the owner of the upstream has another configuration.
+TEST_CASE("a statement runs only on an upstream of its database") {
+  DataPathFixture F;
+  F.State->Config.Databases.push_back({"db2", {}});
+  F.State->Groups["db2"] = {1, "a", {{1, 0}}};
+  F.publish();
+  peer::v1::Forward Request;
+  *Request.mutable_request() = F.write("w1");
+  Request.mutable_request()->set_database("db2");
+  Request.set_upstream("a");
+  Request.set_term(1);
+  Request.set_deadline_us(1'000'000);
+  std::optional<peer::v1::ForwardAnswer> Answer;
+  F.Proxies.at("p1").Path->runForwarded(
+      Request, [&](peer::v1::ForwardAnswer A) { Answer = std::move(A); });
+  F.advance(milliseconds(100));
+  REQUIRE(Answer);
+  expect(Answer->answer(), OUTCOME_REFUSED_NOT_RUN,
+         REASON_UPSTREAM_UNAVAILABLE);
+  CHECK(Answer->not_owner());
+  CHECK(F.upstream("a").executed("w1") == 0);
+}
+
+// Guards against connections that were opened for another database.
+TEST_CASE("an upstream that moves to another database gets new connections") {
+  DataPathFixture F;
+  F.advance(milliseconds(100));
+  const unsigned Before = F.upstream("c").open();
+  auto &Databases = F.State->Config.Databases;
+  Upstream Moved = Databases[0].Upstreams.back();
+  Databases[0].Upstreams.pop_back();
+  Databases.push_back({"db2", {Moved}});
+  const unsigned Opened = F.upstream("c").ConnectionsOpened;
+  F.publish();
+  F.advance(milliseconds(100));
+  CHECK(F.upstream("c").ConnectionsOpened >= Opened + 5);
+  CHECK(F.upstream("c").open() == Before);
+}
