--- a/packages/proxy/src/zmqpeers.cpp
+++ b/packages/proxy/src/zmqpeers.cpp
@@ -1,23 +1,17 @@
 #include "proxy/zmqpeers.h"
-#include "peersocket.h"
+#include "commandqueue.h"
 #include <cerrno>
 #include <list>
 #include <mutex>
 #include <optional>
 #include <pthread.h>
 #include <stdexcept>
-#include <sys/eventfd.h>
-#include <system_error>
 #include <thread>
-#include <unistd.h>
 
 namespace eelgrassloom {
 namespace detail {
 namespace {
 
-/// Largest number of messages, and separately of answers, in the queue of the
-/// transport thread.
-constexpr std::size_t MaxQueuedCommands = 10000;
 /// A peer socket without traffic for this long is closed.
 constexpr Duration IdleTimeout = std::chrono::seconds(30);
 /// How long a message that expects no answer waits for a connection.
@@ -32,77 +26,6 @@
 /// Messages that are read from one socket before the other sockets are read.
 constexpr int ReadBatch = 200;
 
-/// An answer that is sent back through the ROUTER socket.
-struct Reply {
-  /// ROUTER identity of the requester.
-  std::string Route;
-  peer::v1::PeerMessage Message;
-};
-
-/// An eventfd that wakes the transport thread.
-class WakeUp {
-public:
-  WakeUp() : Descriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
-    if (Descriptor < 0)
-      throw std::system_error(errno, std::generic_category(), "eventfd");
-  }
-  ~WakeUp() { close(Descriptor); }
-  WakeUp(const WakeUp &) = delete;
-  WakeUp &operator=(const WakeUp &) = delete;
-
-  void signal() const {
-    std::uint64_t One = 1;
-    // The write fails only if the counter is full, and then the thread wakes
-    // anyway.
-    (void)!write(Descriptor, &One, sizeof One);
-  }
-  void clear() const {
-    std::uint64_t Count = 0;
-    (void)!read(Descriptor, &Count, sizeof Count);
-  }
-  int descriptor() const { return Descriptor; }
-
-private:
-  int Descriptor;
-};
-
-/// Messages and answers that other threads hand to the transport thread.
-/// Shared, because responders may outlive the transport.
-struct CommandQueue {
-  std::mutex Mutex;
-  std::vector<Outgoing> Out;
-  std::vector<Reply> Replies;
-  /// Handlers of requests that were refused because the queue was full or the
-  /// transport was stopping.
-  std::vector<PeerAnswerHandler> Refused;
-  PeerReceiver Receiver;
-  bool Stopping = false;
-  WakeUp Wake;
-};
-
-void post(CommandQueue &Queue, Outgoing &&O) {
-  {
-    std::lock_guard<std::mutex> Lock(Queue.Mutex);
-    if (Queue.Out.size() < MaxQueuedCommands && !Queue.Stopping)
-      Queue.Out.push_back(std::move(O));
-    else if (O.Done)
-      Queue.Refused.push_back(std::move(O.Done));
-  }
-  Queue.Wake.signal();
-}
-
-void post(CommandQueue &Queue, Reply &&R) {
-  {
-    std::lock_guard<std::mutex> Lock(Queue.Mutex);
-    // A dropped answer has the same effect as one that is lost on the network:
-    // the requester times out.
-    if (Queue.Replies.size() >= MaxQueuedCommands || Queue.Stopping)
-      return;
-    Queue.Replies.push_back(std::move(R));
-  }
-  Queue.Wake.signal();
-}
-
 class Transport final : public ZmqPeers {
 public:
   explicit Transport(ZmqPeersContext C)
