Split the statement executor and the upstream pool

Change: OwnedUpstreams has the pools and probes of owned upstreams, transactionsteps.cpp the transactions, upstreampoolconnections.cpp the connections of a pool, and unanswered() the test. No change of behaviour.

Measured: the proxy tests pass (68 cases).

--- a/packages/proxy/include/proxy/upstream.h
+++ b/packages/proxy/include/proxy/upstream.h
@@ -86,6 +86,12 @@
   ConnectionLost,
 };
 
+/// True if there was no answer: whether the call ran is unknown, and its
+/// connection can't be used any more.
+inline bool unanswered(UpstreamCode Code) {
+  return Code == UpstreamCode::TimedOut || Code == UpstreamCode::ConnectionLost;
+}
+
 /// The answer of an upstream to one exchange, or why there is none.
 struct UpstreamReply {
   UpstreamCode Code = UpstreamCode::ConnectionLost;
--- a/packages/proxy/src/controlconnection.cpp
+++ b/packages/proxy/src/controlconnection.cpp
@@ -64,8 +64,7 @@
 
 void ControlConnection::answered(const std::shared_ptr<Exchange> &E,
                                  const UpstreamReply &R) {
-  bool Broken = R.Code == UpstreamCode::TimedOut ||
-                R.Code == UpstreamCode::ConnectionLost;
+  bool Broken = unanswered(R.Code);
   if (!Broken) {
     if (P->Context.Observe.StatusObserved && !R.Status.Id.empty())
       P->Context.Observe.StatusObserved(Database, R.Status);
--- a/packages/proxy/src/controlgroups.cpp
+++ b/packages/proxy/src/controlgroups.cpp
@@ -41,9 +41,7 @@
 CallOutcome outcome(UpstreamCode Code) {
   if (Code == UpstreamCode::Ok)
     return CallOutcome::Ok;
-  bool Unresponsive =
-      Code == UpstreamCode::TimedOut || Code == UpstreamCode::ConnectionLost;
-  return Unresponsive ? CallOutcome::Unknown : CallOutcome::Refused;
+  return unanswered(Code) ? CallOutcome::Unknown : CallOutcome::Refused;
 }
 
 /// Carries out the actions of one database's failover state machine.
--- a/packages/proxy/src/datapath.cpp
+++ b/packages/proxy/src/datapath.cpp
@@ -24,10 +24,10 @@
   }
   void snapshotChanged() override { Executor->snapshotChanged(); }
   peer::v1::StatusReport report(const std::string &Database) const override {
-    return Executor->report(Database);
+    return Executor->upstreams().report(Database);
   }
   std::vector<OwnedUpstream> owned() const override {
-    return Executor->owned();
+    return Executor->upstreams().owned();
   }
   std::size_t inProgress() const override {
     return Router->inProgress() + Executor->inProgress();
--- a/packages/proxy/src/statementexecutor.h
+++ b/packages/proxy/src/statementexecutor.h
@@ -6,6 +6,7 @@
 #define EELGRASSLOOM_PROXY_STATEMENTEXECUTOR_H
 
 #include "confirm.h"
+#include "ownedupstreams.h"
 #include "transactions.h"
 #include <atomic>
 
@@ -19,17 +20,15 @@
 class StatementExecutor
     : public std::enable_shared_from_this<StatementExecutor> {
 public:
-  explicit StatementExecutor(DataPathStateRef P) : P(std::move(P)) {}
+  explicit StatementExecutor(DataPathStateRef Shared)
+      : P(std::move(Shared)), Upstreams(std::make_shared<OwnedUpstreams>(P)) {}
 
   /// Runs a request on the upstream that it names, or refuses it if this proxy
   /// does not own that upstream. \p Done runs exactly once.
   void runForwarded(const peer::v1::Forward &Request, ForwardHandler Done);
   /// Starts and retires pools and probes after a new snapshot was published.
   void snapshotChanged();
-  /// Latest observations of the owned upstreams of a database, for other
-  /// proxies.
-  peer::v1::StatusReport report(const std::string &Database) const;
-  std::vector<OwnedUpstream> owned() const;
+  const OwnedUpstreams &upstreams() const { return *Upstreams; }
   /// Number of statements in progress and open transactions.
   std::size_t inProgress() const;
   /// Stops all probes and closes idle connections; work in progress still
@@ -37,30 +36,6 @@
   void close();
 
 private:
-  struct PooledUpstream {
-    std::shared_ptr<UpstreamPool> Pool;
-    std::shared_ptr<StatusProber> Prober;
-    std::string Database;
-  };
-  /// Probes a primary that another proxy owns, because the staleness bounds of
-  /// the owned replicas depend on the status of their primary.
-  struct PrimaryProbe {
-    UpstreamId Primary;
-    std::string Address;
-    std::shared_ptr<StatusProber> Prober;
-  };
-
-  /// The pool of an owned upstream; null if this proxy does not own it or knows
-  /// it in another database.
-  std::shared_ptr<UpstreamPool> pool(const UpstreamId &Id,
-                                     const std::string &Database) const;
-  PooledUpstream startUpstream(const Upstream &U, const std::string &Database,
-                               const Snapshot &S);
-  void updatePrimaryProbes(const Snapshot &S);
-  void startPrimaryProbe(const Upstream &U, const std::string &Database);
-  void observeStatus(const std::string &Database, const UpstreamStatus &Status,
-                     Instant SentAt);
-
   void runStatement(const ExecutionRef &E);
   void statementDone(const ExecutionRef &E, const TaskResult &R);
   void begin(const ExecutionRef &E);
@@ -87,16 +62,12 @@
   void scheduleAbandonedCheck();
 
   const DataPathStateRef P;
+  const std::shared_ptr<OwnedUpstreams> Upstreams;
   Confirmer Confirmations;
   Transactions OpenTransactions;
   std::atomic<std::size_t> Running = 0;
   std::atomic<bool> Closed = false;
-  mutable std::mutex Mutex;
-  std::map<UpstreamId, PooledUpstream, std::less<>> PooledUpstreams;
-  std::map<std::string, PrimaryProbe, std::less<>> PrimaryProbes;
-  /// Pools of upstreams that this proxy no longer owns or whose address
-  /// changed; they are kept until their work has ended.
-  std::vector<std::shared_ptr<UpstreamPool>> RetiredPools;
+  std::mutex Mutex;
   bool AbandonedCheckScheduled = false;
 };
 
