--- a/packages/ctl/test/logs-test.cpp
+++ b/packages/ctl/test/logs-test.cpp
@@ -168,3 +168,20 @@
   CHECK(Out.str() == "00:00:00.001 a 170 x id=\\x0a\\x1b[2J\\xc2\\x9b\n");
   std::filesystem::remove(Path);
 }
+
+// Guards against a request id that prints a second line or controls the
+// terminal of the operator.
+TEST_CASE("a log line is printed as one line, whatever its texts") {
+  auto Path = std::filesystem::temp_directory_path() /
+              ("eelgrassctl-texts-" + std::to_string(::getpid()));
+  std::ofstream(Path) << R"({"at":1,"node":"a\n","event":161,"name":"n",)"
+                      << R"("id":"r\n00:00 forged\u001b"})"
+                      << "\n";
+  std::ostringstream Out;
+  std::ostringstream Err;
+  std::string File = Path.string();
+  const char *Arguments[] = {"eelgrassctl", "logs", File.c_str(), nullptr};
+  CHECK(runCtl(3, Arguments, {}, Out, Err) == CtlExit::Done);
+  std::filesystem::remove(Path);
+  CHECK(Out.str() == "00:00:00.001 a\\x0a 161 n id=r\\x0a00:00 forged\\x1b\n");
+}
--- a/packages/proxy/include/proxy/upstream.h
+++ b/packages/proxy/include/proxy/upstream.h
@@ -78,12 +78,20 @@
   NoTransaction,
   /// MinPosition is not part of the history of the upstream.
   PositionLost,
+  /// The request id is recorded for another request; nothing changed.
+  IdReused,
   /// No answer within the timeout; the call may have run.
   TimedOut,
   /// The connection ended before the answer; the call may have run.
   ConnectionLost,
 };
 
+/// True if there was no answer: whether the call ran is unknown, and its
+/// connection can't be used any more.
+inline bool unanswered(UpstreamCode Code) {
+  return Code == UpstreamCode::TimedOut || Code == UpstreamCode::ConnectionLost;
+}
+
 /// The answer of an upstream to one exchange, or why there is none.
 struct UpstreamReply {
   UpstreamCode Code = UpstreamCode::ConnectionLost;
--- a/packages/proxy/test/datapathsession-test.cpp
+++ b/packages/proxy/test/datapathsession-test.cpp
@@ -107,3 +107,59 @@
   RunAnswer A = F.run("p1", F.read("r"));
   CHECK(A.outcome() != OUTCOME_OK);
 }
+
+// Guards against a session that forgets its own writes because the answer to a
+// malformed request returns a token without positions.
+TEST_CASE("a refused request does not reset the session") {
+  DataPathFixture F;
+  RunAnswer Written = F.run("p1", F.write("w1"));
+  RunRequest Bad = F.write("w2");
+  Bad.set_token(Written.token());
+  Bad.clear_access();
+  RunAnswer Refused = F.run("p1", Bad);
+  expect(Refused, OUTCOME_REFUSED_NOT_RUN, REASON_BAD_REQUEST);
+  CHECK(Refused.token() == Written.token());
+}
+
+// Guards against a caller who gets the answer of another caller, because both
+// chose the same request id, and against a retry of such a request.
+TEST_CASE("a request id of another statement is an error") {
+  DataPathFixture F(OneEach);
+  RunRequest First = F.write("w1");
+  expect(F.run("p1", First), OUTCOME_OK, REASON_NONE);
+  RunRequest Other = F.write("w2");
+  Other.set_request_id(First.request_id());
+  Other.set_non_idempotent(false);
+  RunAnswer A = F.run("p2", Other);
+  expect(A, OUTCOME_FAILED, REASON_REQUEST_ID_REUSED);
+  CHECK(A.result().empty());
+  CHECK(F.upstream("a").executed("w2") == 1);
+  CHECK(F.upstream("a").logged("w2") == 0);
+  CHECK(F.run("p2", First).recorded());
+}
+
+// Guards against a message that a caller or an upstream can't receive, which
+// ends as an unknown outcome or with a closed connection.
+TEST_CASE("a request or a result that is too large gets a clear answer") {
+  DataPathFixture F(OneEach);
+  RunRequest Large = F.write(std::string(4 << 20, 'x'));
+  Large.set_request_id("large");
+  for (const char *Proxy : {"p1", "p2"})
+    expect(F.run(Proxy, Large), OUTCOME_REFUSED_NOT_RUN, REASON_TOO_LARGE);
+  F.upstream("a").ResultBytes = 5 << 20;
+  for (const char *Proxy : {"p1", "p2"}) {
+    RunRequest Write = F.write(std::string("w-") + Proxy);
+    RunAnswer A = F.run(Proxy, Write);
+    expect(A, OUTCOME_UNKNOWN, REASON_TOO_LARGE);
+    CHECK(A.result().empty());
+    CHECK(F.upstream("a").logged(Write.statement()) == 1);
+    // The session has the position of the write.
+    CHECK(A.token() != F.run(Proxy, F.read("r")).token());
+    expect(F.run(Proxy, F.read("r")), OUTCOME_FAILED, REASON_TOO_LARGE);
+  }
+  RunRequest Named = F.read("r");
+  Named.set_database(std::string(1000, 'd'));
+  RunAnswer A = F.run("p1", Named);
+  expect(A, OUTCOME_REFUSED_NOT_RUN, REASON_BAD_REQUEST);
+  CHECK(A.message().size() < 200);
+}
--- a/packages/proxy/test/fakes-test.cpp
+++ b/packages/proxy/test/fakes-test.cpp
@@ -17,6 +17,10 @@
   R.Code = UpstreamCode::Ok;
   if (auto It = S.RecordedRequests.find(C.RequestId);
       !C.RequestId.empty() && It != S.RecordedRequests.end()) {
+    if (It->second.Statement != Statement) {
+      R.Code = UpstreamCode::IdReused;
+      return R;
+    }
     R.Recorded = true;
     R.At = It->second.At;
     R.Result = "did " + It->second.Statement;
@@ -90,6 +94,8 @@
   default:
     break;
   }
+  if (S.ResultBytes > 0 && R.Code == UpstreamCode::Ok)
+    R.Result.assign(S.ResultBytes, 'x');
   R.Status = S.Status;
   return R;
 }
