--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -146,14 +146,23 @@
 }
 
 void Session::updateState(const Statement &S) {
+  if (S.Kind == StatementKind::Deallocate) {
+    if (CallerState.Prepared.erase(S.Name) == 0)
+      answerError(ReplyCode::NoStatement, S.Name);
+    else
+      answerOk();
+    return;
+  }
+  if (sizeInBytes(CallerState) + S.Name.size() + S.Argument.size() >
+      MaxSessionStateBytes) {
+    answerError(ReplyCode::TooBig,
+                "the session has too many variables and prepared statements");
+    return;
+  }
   if (S.Kind == StatementKind::Set)
     CallerState.Variables[S.Name] = S.Argument;
-  else if (S.Kind == StatementKind::Prepare)
+  else
     CallerState.Prepared[S.Name] = {S.PreparesWrite, S.Argument};
-  else if (CallerState.Prepared.erase(S.Name) == 0) {
-    answerError(ReplyCode::NoStatement, S.Name);
-    return;
-  }
   answerOk();
 }
 
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -155,6 +155,25 @@
   CHECK(F.server("p").count("WRITE a x") == 0);
 }
 
+// Guards against a session whose variables take all memory of the process.
+TEST_CASE("a session with too many variables is told so") {
+  EngineFixture F;
+  auto S = F.open("latest");
+  const std::string Value(MaxSessionStateBytes / 4, 'v');
+  for (unsigned I = 0; I < 5; ++I) {
+    Statement Set = simple(StatementKind::Set, "SET");
+    Set.Name = "n" + std::to_string(I);
+    Set.Argument = Value;
+    S->submit(Set);
+  }
+  REQUIRE(F.Replies.size() == 5);
+  CHECK_FALSE(F.Replies[2].Error);
+  CHECK(F.Replies[4].Error == ReplyCode::TooBig);
+  S->submit(write("a"));
+  F.run();
+  CHECK_FALSE(F.last().Error);
+}
+
 TEST_CASE("a rollback is answered at once and sent to the server") {
   EngineFixture F;
   auto S = F.open("latest");
--- a/packages/kernel/include/kernel/sessionstate.h
+++ b/packages/kernel/include/kernel/sessionstate.h
@@ -32,6 +32,13 @@
   std::map<std::string, PreparedStatement, std::less<>> Prepared;
 };
 
+/// Maximum total length of the names, values and shapes of one session in
+/// bytes. They are kept in memory and sent along with forwarded statements.
+inline constexpr std::size_t MaxSessionStateBytes = std::size_t{4} << 20;
+
+/// Total length of the names, values and shapes of a session.
+std::size_t sizeInBytes(const SessionState &S);
+
 /// Variables and prepared statements that exist on a pooled connection.
 struct ConnectionState {
   std::map<std::string, std::string, std::less<>> Variables;
--- a/packages/kernel/src/sessionstate.cpp
+++ b/packages/kernel/src/sessionstate.cpp
@@ -34,6 +34,15 @@
 
 } // namespace detail
 
+std::size_t sizeInBytes(const SessionState &S) {
+  std::size_t Bytes = 0;
+  for (const auto &[Name, Value] : S.Variables)
+    Bytes += Name.size() + Value.size();
+  for (const auto &[Name, Statement] : S.Prepared)
+    Bytes += Name.size() + Statement.Shape.size();
+  return Bytes;
+}
+
 std::vector<SetupStep> setupSteps(const ConnectionState &C,
                                   const SessionState &S,
                                   const PreparedStatement *Needed) {
