Review: unusable idle connections count against the limit of a pool

Fails: with all connections idle and unusable, available() is false; placement skips the server and so never calls ensureConnection() or acquire(), which would drop them. Only the maintenance, every 100 ms, does.

--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -38,6 +38,14 @@
   unsigned Dials = 0;
 };
 
+/// A connection whose usability the test sets.
+struct StubConnection : ServerConnection {
+  void exchange(std::vector<ServerCall>, ReplyHandler) override {}
+  bool usable() const override { return Usable; }
+  void close() override {}
+  bool Usable = true;
+};
+
 } // namespace
 
 TEST_CASE("a server that refuses connections is unreachable") {
@@ -93,3 +101,20 @@
   CHECK_FALSE(F.Pool->unreachable());
   CHECK(F.Dials == 1);
 }
+
+// Guards against statements that wait, until idle connections are looked
+// through, for connections that nobody may use.
+TEST_CASE("idle connections that became unusable do not fill the pool") {
+  PoolFixture F;
+  std::vector<std::shared_ptr<StubConnection>> Open;
+  for (int I = 0; I < 4; ++I) {
+    F.Pool->openAnother();
+    auto Done = std::move(F.AnswerDial);
+    Open.push_back(std::make_shared<StubConnection>());
+    Done({DialOutcome::Connected, Open.back(), {}});
+  }
+  CHECK(F.Pool->available());
+  for (const auto &Connection : Open)
+    Connection->Usable = false;
+  CHECK(F.Pool->available());
+}
