--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -227,3 +227,25 @@
   F.run();
   CHECK(F.last().Error == ReplyCode::Malformed);
 }
+
+// Guards against connections that stay reserved for ever because the answer to
+// a ROLLBACK was lost.
+TEST_CASE("a connection whose ROLLBACK has no answer is closed") {
+  EngineFixture F;
+  for (int I = 0; I < 10; ++I) {
+    auto S = F.open("latest");
+    S->submit(Begin);
+    S->submit(read("a"));
+    F.advance(1s);
+    REQUIRE_FALSE(F.last().Error);
+    F.server("p").Unresponsive = true;
+    S->submit(Rollback);
+    F.run();
+    F.server("p").Unresponsive = false;
+  }
+  F.advance(10s);
+  F.open("latest")->submit(read("b"));
+  F.advance(5s);
+  CHECK_FALSE(F.last().Error);
+  CHECK(F.server("p").count("READ b") == 1);
+}
