Review: a COMMIT that was never sent is answered UNKNOWN

Fails: the connection of the transaction ended (closed by the server, or by an answer without a request) while no request was in progress. The COMMIT is not sent, the server has rolled back, and the caller gets UNKNOWN, not ABORTED.

--- a/packages/engine/test/fakes-test.cpp
+++ b/packages/engine/test/fakes-test.cpp
@@ -39,6 +39,10 @@
 
   void exchange(std::vector<ServerCall> Calls, ReplyHandler Done) override {
     std::vector<ServerReply> Replies;
+    if (S.ConnectionsLost) {
+      Calls.clear();
+      Replies.emplace_back().NoAnswer = true;
+    }
     for (const ServerCall &Call : Calls) {
       S.Received.push_back(Call);
       Replies.push_back(answer(Call));
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -249,3 +249,19 @@
   CHECK_FALSE(F.last().Error);
   CHECK(F.server("p").count("READ b") == 1);
 }
+
+// Guards against an operation that its caller may not repeat although nothing
+// of it is kept: the connection of the transaction ended before the COMMIT.
+TEST_CASE("a COMMIT that was not sent is not answered as unknown") {
+  EngineFixture F;
+  auto S = F.open("latest");
+  S->submit(Begin);
+  S->submit(write("a"));
+  F.run();
+  REQUIRE_FALSE(F.last().Error);
+  F.server("p").ConnectionsLost = true;
+  S->submit(Commit);
+  F.run();
+  CHECK(F.server("p").count("COMMIT") == 0);
+  CHECK(F.last().Error == ReplyCode::Aborted);
+}
