Answers to the proxy's own requests: what may be passed over, what ends the connection

The real answer to a setup that arrived behind a repeated one ended the statement that waited (UNKNOWN); a repeated answer to BEGIN READ hid a refusal; a repeated STATUS gave an old position a new time. A COMMIT on a connection that had ended before was answered as unknown, a ROLLBACK without an answer kept its connection for ever, and unusable idle connections filled the pool.

Change: as many surplus answers as the setup had requests are passed over; a BEGIN that is answered below the position it asked for, or a STATUS that equals an earlier one, is no answer; a request that was not sent says so; a ROLLBACK has one second; the pool counts usable connections.

--- a/packages/engine/include/engine/replymatch.h
+++ b/packages/engine/include/engine/replymatch.h
@@ -17,25 +17,29 @@
 enum class ReplyMatch : std::uint8_t {
   /// It answers the request in progress.
   Answer,
-  /// The server has sent it before; the request in progress still waits.
+  /// The server has sent it before, or it is the answer to an earlier request
+  /// for which a repeated one was taken; the request in progress still waits.
   Repeated,
   /// No request is in progress that it could answer.
   Unrequested,
   /// A success of a statement without the signature of the server.
   Unsigned,
-  /// Its signature or its transaction state is impossible for the request in
-  /// progress.
+  /// Its signature, rows, transaction state or position is impossible for the
+  /// request in progress.
   Impossible,
+  /// A status that equals an earlier one: if it is a repetition, its position
+  /// is older than the request.
+  Ambiguous,
 };
-inline constexpr std::array<std::string_view, 5> ReplyMatchNames = {
-    "answer", "repeated", "unrequested", "unsigned", "impossible"};
+inline constexpr std::array<std::string_view, 6> ReplyMatchNames = {
+    "answer", "repeated", "unrequested", "unsigned", "impossible", "ambiguous"};
 constexpr std::string_view name(ReplyMatch M) {
   return ReplyMatchNames[static_cast<std::size_t>(M)];
 }
 
 /// Number of earlier answers of a connection that are recognized when they
-/// arrive again.
-inline constexpr std::size_t MaxRememberedReplies = 256;
+/// arrive again: those of ten seconds at 5 ms a statement.
+inline constexpr std::size_t MaxRememberedReplies = 2048;
 
 /// The answers that one connection has received.
 struct ReplyHistory {
@@ -45,6 +49,9 @@
   std::size_t Next = 0;
   /// State of the transaction after the last answer.
   TransactionState State = TransactionState::None;
+  /// Answers to requests of the proxy since the last answer with a signature.
+  /// Each of them may have been a repetition, and the real one still arrive.
+  unsigned AnswersWithoutSignature = 0;
 };
 
 /// History of a connection that the server has opened with this answer.
--- a/packages/engine/include/engine/types.h
+++ b/packages/engine/include/engine/types.h
@@ -147,6 +147,9 @@
 struct ServerReply {
   /// The connection ended before the answer was complete.
   bool NoAnswer = false;
+  /// With NoAnswer: the connection had ended before, so that the request was
+  /// not sent.
+  bool NotSent = false;
   std::optional<ReplyCode> Error;
   std::string ErrorText;
   std::vector<std::string> Rows;
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -13,6 +13,9 @@
 /// Time for which the primary is not used after it refused a write as a server
 /// that is not primary. The primary record is polled meanwhile.
 constexpr Duration NotPrimaryTime = std::chrono::milliseconds(100);
+/// A connection whose ROLLBACK has no answer within this time is closed, which
+/// rolls the transaction back as well.
+constexpr Duration RollBackTimeout = std::chrono::seconds(1);
 /// After this many failed attempts of a read the error is returned.
 constexpr unsigned MaxFailures = 3;
 
@@ -234,9 +237,15 @@
     finish(A->J, std::move(Result));
     return;
   }
-  bool MayHaveRun =
-      Reply.NoAnswer || !Reply.Error || !detail::didNotRun(*Reply.Error);
-  retryOrFail(A, Reply, MayHaveRun);
+  if (Reply.NotSent && J.Kind == JobKind::Commit) {
+    // The server has rolled the transaction back when its connection ended.
+    Reply = ServerReply();
+    Reply.Error = ReplyCode::Aborted;
+    Reply.ErrorText = "the connection of the transaction has ended";
+  }
+  bool Ran = Reply.NoAnswer ? !Reply.NotSent
+                            : !Reply.Error || !detail::didNotRun(*Reply.Error);
+  retryOrFail(A, Reply, Ran);
 }
 
 void Group::endAttempt(const AttemptRef &A, bool Reuse) {
@@ -313,14 +322,20 @@
     Pinned.Pool->release(Pinned.Connection, false);
     return;
   }
+  auto Answered = std::make_shared<bool>(false);
   Pinned.Connection->Connection->exchange(
       {makeCall(ServerCommand::RollBack)},
-      [Pinned](std::vector<ServerReply> Replies) {
+      [Pinned, Answered](std::vector<ServerReply> Replies) {
         const ServerReply &Reply = Replies.back();
+        *Answered = true;
         Pinned.Pool->release(Pinned.Connection,
                              !Reply.NoAnswer &&
                                  Reply.State == TransactionState::None);
       });
+  Hooks.After(detail::RollBackTimeout, [Pinned, Answered] {
+    if (!*Answered)
+      Pinned.Pool->release(Pinned.Connection, false);
+  });
 }
 
 void Group::unpin(const PinnedConnection &Pinned, bool Reuse) {
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -91,8 +91,12 @@
 
 bool ServerPool::mayDial() const {
   Instant Now = Hooks.Now();
+  auto InUse = static_cast<std::size_t>(
+      std::count_if(Open.begin(), Open.end(), [](const ConnectionRef &C) {
+        return C->Busy || C->Connection->usable();
+      }));
   return !Closed && Dialing < Options.MaxDialing && Now >= NextDial &&
-         Now >= ServerFullUntil && Open.size() + Dialing < MaxPoolSize;
+         Now >= ServerFullUntil && InUse + Dialing < MaxPoolSize;
 }
 
 bool ServerPool::available() const {
--- a/packages/engine/src/replymatch.cpp
+++ b/packages/engine/src/replymatch.cpp
@@ -59,26 +59,36 @@
   }
 }
 
-/// What a success is that was not received before.
-ReplyMatch matchNew(const ReplyHistory &H, const ServerCall &Request,
-                    const ServerReply &Reply) {
-  if (isCallerStatement(Request))
-    return Reply.Signature.empty() ? ReplyMatch::Unsigned : ReplyMatch::Answer;
+/// True if the success can be that of a request of the proxy.
+bool fits(const ReplyHistory &H, const ServerCall &Request,
+          const ServerReply &Reply) {
   bool HasRows = Request.Command == ServerCommand::Status;
+  bool HoldsPosition =
+      !Request.MinPosition ||
+      (Reply.LogPosition && *Reply.LogPosition >= *Request.MinPosition);
   return Reply.Signature.empty() && Reply.Rows.empty() != HasRows &&
-                 Reply.State == stateAfter(Request, H.State)
-             ? ReplyMatch::Answer
-             : ReplyMatch::Impossible;
+         Reply.State == stateAfter(Request, H.State) && HoldsPosition;
 }
 
-/// What a success is that equals an earlier one. Successes without a signature
-/// often are equal.
-ReplyMatch matchEqual(const ReplyHistory &H, const ServerCall &Request,
-                      const ServerReply &Reply) {
-  return !isCallerStatement(Request) &&
-                 matchNew(H, Request, Reply) == ReplyMatch::Answer
-             ? ReplyMatch::Answer
-             : ReplyMatch::Repeated;
+ReplyMatch matchOwn(const ReplyHistory &H, const ServerCall &Request,
+                    const ServerReply &Reply, bool Seen) {
+  if (!fits(H, Request, Reply))
+    return Seen ? ReplyMatch::Repeated : ReplyMatch::Impossible;
+  return Seen && Request.Command == ServerCommand::Status
+             ? ReplyMatch::Ambiguous
+             : ReplyMatch::Answer;
+}
+
+ReplyMatch matchStatement(ReplyHistory &H, const ServerReply &Reply,
+                          bool Seen) {
+  if (Seen)
+    return ReplyMatch::Repeated;
+  if (!Reply.Signature.empty())
+    return ReplyMatch::Answer;
+  if (!Reply.Rows.empty() || H.AnswersWithoutSignature == 0)
+    return ReplyMatch::Unsigned;
+  --H.AnswersWithoutSignature;
+  return ReplyMatch::Repeated;
 }
 
 } // namespace detail
@@ -87,18 +97,23 @@
                       const ServerReply &Reply) {
   std::uint64_t Fingerprint = detail::fingerprint(Reply);
   bool Seen = !Reply.Error && detail::seen(History, Fingerprint);
-  ReplyMatch Match = ReplyMatch::Unrequested;
+  ReplyMatch Match = ReplyMatch::Answer;
   if (Request == nullptr || !Reply.Result)
     Match = Seen ? ReplyMatch::Repeated : ReplyMatch::Unrequested;
-  else if (Reply.Error)
-    Match = ReplyMatch::Answer;
-  else
-    Match = Seen ? detail::matchEqual(History, *Request, Reply)
-                 : detail::matchNew(History, *Request, Reply);
+  else if (!Reply.Error)
+    Match = detail::isCallerStatement(*Request)
+                ? detail::matchStatement(History, Reply, Seen)
+                : detail::matchOwn(History, *Request, Reply, Seen);
   if (Match != ReplyMatch::Answer)
     return Match;
   History.State = Reply.State;
-  if (!Seen && !Reply.Error)
+  if (Reply.Error)
+    return Match;
+  if (Reply.Signature.empty())
+    ++History.AnswersWithoutSignature;
+  else
+    History.AnswersWithoutSignature = 0;
+  if (!Seen)
     detail::remember(History, Fingerprint);
   return Match;
 }
--- a/packages/engine/test/fakes-test.cpp
+++ b/packages/engine/test/fakes-test.cpp
@@ -42,6 +42,7 @@
     if (S.ConnectionsLost) {
       Calls.clear();
       Replies.emplace_back().NoAnswer = true;
+      Replies.back().NotSent = true;
     }
     for (const ServerCall &Call : Calls) {
       S.Received.push_back(Call);
--- a/packages/engine/test/replymatch-test.cpp
+++ b/packages/engine/test/replymatch-test.cpp
@@ -100,6 +100,7 @@
   ServerCall Status = makeCall(ServerCommand::Status);
   CHECK(matchReply(H, &Status, success("")) == ReplyMatch::Impossible);
   CHECK(matchReply(H, &Status, Row) == ReplyMatch::Answer);
+  CHECK(matchReply(H, &Status, Row) == ReplyMatch::Ambiguous);
 }
 
 TEST_CASE("the answer to the opening of a connection answers no request") {
