Review: late repeated answers on busy connections, with real processes

The existing groups and the soak repeat within 200 ms only, and so often that no connection gets to 256 answers.

--- a/tests/wire/cases.cpp
+++ b/tests/wire/cases.cpp
@@ -19,12 +19,13 @@
 /// Longest random field in bytes.
 constexpr std::size_t MaxRandomBytes = 24;
 
-constexpr std::array<CaseGroup, 9> Groups = {{
+constexpr std::array<CaseGroup, 10> Groups = {{
     {"changed-texts", buildTexts, ManyConnections, 100},
     {"changed-rows", buildRows, ManyConnections, 85},
     {"shifted-shapes", buildShapes, ManyConnections, 100},
     {"changed-values", buildValues, ManyConnections, 100},
     {"repeated-answers", buildRepeatedAnswers, ManyConnections, 50},
+    {"late-answers", buildLateAnswers, ManyConnections, 50},
     {"unsigned-answers", buildUnsignedAnswers, ManyConnections, 50},
     {"message-limits", buildLimits, ManyConnections, 50},
     {"large-answers", buildLargeAnswers, ManyConnections, 100},
--- a/tests/wire/cases.h
+++ b/tests/wire/cases.h
@@ -51,6 +51,7 @@
 /// Second answers that are taken for those of the next statement.
 void buildRepeatedAnswers(CaseContext &C);
 /// Successes without a signature that are passed on.
+void buildLateAnswers(CaseContext &C);
 void buildUnsignedAnswers(CaseContext &C);
 /// Messages at the size limit that are refused, and larger ones that are sent.
 void buildLimits(CaseContext &C);
--- a/tests/wire/faultcases.cpp
+++ b/tests/wire/faultcases.cpp
@@ -14,6 +14,11 @@
 constexpr unsigned RepeatedAnswers = 25;
 /// Longest time between an answer and its repetition.
 constexpr unsigned MaxRepeatMillis = 200;
+/// The same where few answers come again but after many others on their
+/// connection.
+constexpr unsigned LateSessions = 1600;
+constexpr unsigned LateAnswers = 1;
+constexpr unsigned MaxLateMillis = 3000;
 constexpr unsigned UnsignedSessions = 40;
 /// Bytes of "QUERY", of an id and of the blanks after them.
 constexpr std::size_t QueryWordBytes = 6;
@@ -21,6 +26,13 @@
 /// As long as any name that the proxy gives to a prepared statement.
 constexpr const char *LongName = "a-name-of-thirty-two-characters1";
 
+AnswerPlan repeatedLate(CaseContext &C) {
+  AnswerPlan P;
+  if (C.Random() % 100 < LateAnswers)
+    P.RepeatAfter = std::chrono::milliseconds(C.Random() % (MaxLateMillis + 1));
+  return P;
+}
+
 AnswerPlan repeated(CaseContext &C) {
   AnswerPlan P;
   if (C.Random() % 100 < RepeatedAnswers)
@@ -103,6 +115,20 @@
   }
 }
 
+void buildLateAnswers(CaseContext &C) {
+  for (unsigned I = 0; I < LateSessions; ++I) {
+    ScriptWriter S = C.session();
+    S.demand(Demand::Any);
+    for (unsigned Part = 0; Part < 7; ++Part) {
+      S.plan(repeatedLate(C));
+      S.read("item");
+      S.plan(repeatedLate(C));
+      S.write("item", "data");
+    }
+    C.add(S);
+  }
+}
+
 void buildUnsignedAnswers(CaseContext &C) {
   for (unsigned I = 0; I < UnsignedSessions; ++I) {
     AnswerPlan P;
