--- a/packages/engine/include/engine/replymatch.h
+++ b/packages/engine/include/engine/replymatch.h
@@ -9,7 +9,7 @@
 
 #include "engine/types.h"
 #include <array>
-#include <cstddef>
+#include <unordered_set>
 
 namespace eelgrassloom {
 
@@ -37,16 +37,17 @@
   return ReplyMatchNames[static_cast<std::size_t>(M)];
 }
 
-/// Number of earlier answers of a connection that are recognized when they
-/// arrive again: those of ten seconds at 5 ms a statement.
-inline constexpr std::size_t MaxRememberedReplies = 2048;
+/// Answers of a connection are recognized when they arrive again within this
+/// time, and those of up to twice this time.
+inline constexpr Duration ReplyMemory = std::chrono::seconds(10);
 
 /// The answers that one connection has received.
 struct ReplyHistory {
-  /// Hashes of signatures and of answers without one; a ring that overwrites
-  /// the oldest.
-  std::vector<std::uint64_t> Seen;
-  std::size_t Next = 0;
+  /// Hashes of signatures and of answers without one: those since RecentSince,
+  /// and those of the ReplyMemory before.
+  std::unordered_set<std::uint64_t> Recent;
+  std::unordered_set<std::uint64_t> Older;
+  Instant RecentSince;
   /// State of the transaction after the last answer.
   TransactionState State = TransactionState::None;
   /// Answers to requests of the proxy since the last answer with a signature.
@@ -55,7 +56,7 @@
 };
 
 /// History of a connection that the server has opened with this answer.
-ReplyHistory startHistory(const ServerReply &Opening);
+ReplyHistory startHistory(const ServerReply &Opening, Instant Now);
 
 /// Compares an answer with the request in progress, null if there is none, and
 /// with earlier answers, and remembers it. An answer with a signature belongs
@@ -64,7 +65,7 @@
 /// for the answer to such a request; the surplus is then found by the next
 /// statement.
 ReplyMatch matchReply(ReplyHistory &History, const ServerCall *Request,
-                      const ServerReply &Reply);
+                      const ServerReply &Reply, Instant Now);
 
 } // namespace eelgrassloom
 
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -87,8 +87,9 @@
 
 void Group::sendSetup(const AttemptRef &A) {
   Job &J = *A->J;
-  std::vector<SetupStep> Steps = setupSteps(
-      A->Connection->State, *J.State, J.Prepared ? &*J.Prepared : nullptr);
+  std::vector<SetupStep> Steps =
+      setupSteps(A->Connection->State, *J.State,
+                 J.Prepared ? &*J.Prepared : nullptr, J.Pinned.has_value());
   std::vector<ServerCall> Calls;
   Calls.reserve(Steps.size() + 1);
   for (const SetupStep &Step : Steps)
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -224,7 +224,9 @@
 
 void Group::requeue(const JobRef &J, Duration Delay) {
   J->NotBefore = Hooks.Now() + Delay;
-  enqueue(J);
+  // A hedged read may be waiting already when its first attempt fails.
+  if (!J->Waiting)
+    enqueue(J);
   schedule();
 }
 
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -104,12 +104,12 @@
 }
 
 void ServerPool::ensureConnection() {
-  dropUnusable();
   if (!hasIdle())
     openAnother();
 }
 
 void ServerPool::openAnother() {
+  dropUnusable();
   if (!mayDial())
     return;
   ++Dialing;
--- a/packages/engine/src/replymatch.cpp
+++ b/packages/engine/src/replymatch.cpp
@@ -1,6 +1,6 @@
 #include "engine/replymatch.h"
-#include <algorithm>
 #include <functional>
+#include <utility>
 
 namespace eelgrassloom {
 namespace detail {
@@ -28,16 +28,15 @@
 }
 
 bool seen(const ReplyHistory &H, std::uint64_t Fingerprint) {
-  return std::find(H.Seen.begin(), H.Seen.end(), Fingerprint) != H.Seen.end();
+  return H.Recent.count(Fingerprint) != 0 || H.Older.count(Fingerprint) != 0;
 }
 
-void remember(ReplyHistory &H, std::uint64_t Fingerprint) {
-  if (H.Seen.size() < MaxRememberedReplies) {
-    H.Seen.push_back(Fingerprint);
-    return;
+void remember(ReplyHistory &H, std::uint64_t Fingerprint, Instant Now) {
+  if (Now - H.RecentSince >= ReplyMemory) {
+    H.Older = std::exchange(H.Recent, {});
+    H.RecentSince = Now;
   }
-  H.Seen[H.Next] = Fingerprint;
-  H.Next = (H.Next + 1) % MaxRememberedReplies;
+  H.Recent.insert(Fingerprint);
 }
 
 bool isCallerStatement(const ServerCall &Request) {
@@ -79,12 +78,15 @@
              : ReplyMatch::Answer;
 }
 
-ReplyMatch matchStatement(ReplyHistory &H, const ServerReply &Reply,
-                          bool Seen) {
+ReplyMatch matchStatement(ReplyHistory &H, const ServerCall &Request,
+                          const ServerReply &Reply, bool Seen) {
   if (Seen)
     return ReplyMatch::Repeated;
+  bool LeavesTransaction = H.State == TransactionState::Open &&
+                           Reply.State == TransactionState::None &&
+                           Request.Text != "COMMIT";
   if (!Reply.Signature.empty())
-    return ReplyMatch::Answer;
+    return LeavesTransaction ? ReplyMatch::Impossible : ReplyMatch::Answer;
   if (!Reply.Rows.empty() || H.AnswersWithoutSignature == 0)
     return ReplyMatch::Unsigned;
   --H.AnswersWithoutSignature;
@@ -94,7 +96,7 @@
 } // namespace detail
 
 ReplyMatch matchReply(ReplyHistory &History, const ServerCall *Request,
-                      const ServerReply &Reply) {
+                      const ServerReply &Reply, Instant Now) {
   std::uint64_t Fingerprint = detail::fingerprint(Reply);
   bool Seen = !Reply.Error && detail::seen(History, Fingerprint);
   ReplyMatch Match = ReplyMatch::Answer;
@@ -102,7 +104,7 @@
     Match = Seen ? ReplyMatch::Repeated : ReplyMatch::Unrequested;
   else if (!Reply.Error)
     Match = detail::isCallerStatement(*Request)
-                ? detail::matchStatement(History, Reply, Seen)
+                ? detail::matchStatement(History, *Request, Reply, Seen)
                 : detail::matchOwn(History, *Request, Reply, Seen);
   if (Match != ReplyMatch::Answer)
     return Match;
@@ -113,14 +115,13 @@
     ++History.AnswersWithoutSignature;
   else
     History.AnswersWithoutSignature = 0;
-  if (!Seen)
-    detail::remember(History, Fingerprint);
+  detail::remember(History, Fingerprint, Now);
   return Match;
 }
 
-ReplyHistory startHistory(const ServerReply &Opening) {
+ReplyHistory startHistory(const ServerReply &Opening, Instant Now) {
   ReplyHistory History;
-  detail::remember(History, detail::fingerprint(Opening));
+  detail::remember(History, detail::fingerprint(Opening), Now);
   return History;
 }
 
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -153,16 +153,16 @@
       answerOk();
     return;
   }
-  if (sizeInBytes(CallerState) + S.Name.size() + S.Argument.size() >
-      MaxSessionStateBytes) {
-    answerError(ReplyCode::TooBig,
-                "the session has too many variables and prepared statements");
-    return;
-  }
+  SessionState Next = CallerState;
   if (S.Kind == StatementKind::Set)
-    CallerState.Variables[S.Name] = S.Argument;
+    Next.Variables[S.Name] = S.Argument;
   else
-    CallerState.Prepared[S.Name] = {S.PreparesWrite, S.Argument};
+    Next.Prepared[S.Name] = {S.PreparesWrite, S.Argument};
+  if (sizeInBytes(Next) > MaxSessionStateBytes) {
+    answerError(ReplyCode::TooBig, "the state of the session is too long");
+    return;
+  }
+  CallerState = std::move(Next);
   answerOk();
 }
 
--- a/packages/kernel/include/kernel/sessionstate.h
+++ b/packages/kernel/include/kernel/sessionstate.h
@@ -70,10 +70,12 @@
 inline constexpr std::size_t MaxShapeBytesPerConnection = std::size_t{1} << 20;
 
 /// Steps after which the connection has exactly the variables of the session
-/// and, if \p Needed is not null, that prepared statement.
+/// and, if \p Needed is not null, that prepared statement. With an open
+/// transaction the connection is not reset to make room.
 std::vector<SetupStep> setupSteps(const ConnectionState &C,
                                   const SessionState &S,
-                                  const PreparedStatement *Needed);
+                                  const PreparedStatement *Needed,
+                                  bool InTransaction = false);
 
 /// Records a step that the server has confirmed.
 void apply(ConnectionState &C, const SetupStep &Step);
--- a/packages/kernel/src/sessionstate.cpp
+++ b/packages/kernel/src/sessionstate.cpp
@@ -45,9 +45,10 @@
 
 std::vector<SetupStep> setupSteps(const ConnectionState &C,
                                   const SessionState &S,
-                                  const PreparedStatement *Needed) {
+                                  const PreparedStatement *Needed,
+                                  bool InTransaction) {
   std::vector<SetupStep> Steps;
-  bool Reset = detail::needsReset(C, S, Needed);
+  bool Reset = !InTransaction && detail::needsReset(C, S, Needed);
   if (Reset)
     Steps.push_back({SetupKind::Reset, {}, {}, {}});
   for (const auto &[Key, Value] : S.Variables) {
--- a/packages/kernel/test/sessionstate-test.cpp
+++ b/packages/kernel/test/sessionstate-test.cpp
@@ -85,4 +85,8 @@
   REQUIRE(Steps.size() == 2);
   CHECK(Steps[0].Kind == SetupKind::Reset);
   CHECK(after(C, Steps).ShapeBytes == 1);
+  // A reset could end an open transaction.
+  Steps = setupSteps(C, {}, &P, true);
+  REQUIRE(Steps.size() == 1);
+  CHECK(Steps[0].Kind == SetupKind::Prepare);
 }
