Simulated database: large values do not hold up connections

Cause: a write of a large value was copied several times and journalled while the database was locked, and every pull of a replica copied it again. Open and Status waited for the same lock. Proxies then lost their connections: a write timed out after 300 ms, the check of the idle connections after 60 ms, and new ones did not open within 250 ms. The next calls were refused with "no connection to the upstream can be opened".

Change: Open and Status answer from a published copy of the status.

--- a/tests/standin/src/database.cpp
+++ b/tests/standin/src/database.cpp
@@ -9,7 +9,7 @@
 using namespace types::v1;
 using TermHistory = google::protobuf::RepeatedPtrField<TermStart>;
 
-constexpr int MaxPullEntries = 1000;
+constexpr std::size_t MaxPullEntries = 1000;
 
 ServerFrame frame(Code C, std::string Message = "") {
   ServerFrame F;
@@ -315,9 +315,17 @@
   return F;
 }
 
-v1::PullAnswer Database::pull(const v1::PullRequest &Request,
-                              std::int64_t NewestUs) const {
-  v1::PullAnswer Answer;
+v1::PullAnswer PullResult::message() const {
+  v1::PullAnswer Answer = Header;
+  for (const EntryRef &Entry : Entries)
+    *Answer.add_entries() = *Entry;
+  return Answer;
+}
+
+PullResult Database::findEntries(const v1::PullRequest &Request,
+                                 std::int64_t NewestUs) const {
+  PullResult Result;
+  v1::PullAnswer &Answer = Result.Header;
   if (Terms.raised_term() > Request.term())
     Answer.set_code(CODE_STALE_TERM);
   else if (Terms.role() != UPSTREAM_ROLE_PRIMARY ||
@@ -326,17 +334,17 @@
   else
     Answer.set_code(CODE_OK);
   if (Answer.code() != CODE_OK)
-    return Answer;
+    return Result;
   *Answer.mutable_history() = Terms.history();
   std::uint64_t Common = commonIndex(Terms.history(), Log.size(),
                                      Request.history(), Request.last_index());
   Answer.set_common(Common);
   for (std::uint64_t I = Common;
-       I < Log.size() && Log[I].committed_us() <= NewestUs &&
-       Answer.entries_size() < MaxPullEntries;
+       I < Log.size() && Log[I]->committed_us() <= NewestUs &&
+       Result.Entries.size() < MaxPullEntries;
        ++I)
-    *Answer.add_entries() = Log[I];
-  return Answer;
+    Result.Entries.push_back(Log[I]);
+  return Result;
 }
 
 bool Database::nextPull(v1::PullRequest &Request,
@@ -351,7 +359,7 @@
   return true;
 }
 
-bool Database::replicate(std::uint64_t Term, const v1::PullAnswer &Answer) {
+bool Database::replicate(std::uint64_t Term, v1::PullAnswer Answer) {
   if (Answer.code() != CODE_OK || Terms.role() != UPSTREAM_ROLE_REPLICA ||
       Terms.role_term() != Term || Terms.raised_term() != Term)
     return false;
@@ -363,9 +371,9 @@
     *Terms.mutable_history() = Answer.history();
     storeTerms();
   }
-  for (const auto &Entry : Answer.entries())
+  for (auto &Entry : *Answer.mutable_entries())
     if (Entry.position().index() == Log.size() + 1)
-      append(Entry);
+      append(std::move(Entry));
   return true;
 }
 
@@ -381,7 +389,7 @@
 }
 
 Position Database::applied() const {
-  return Log.empty() ? Position() : Log.back().position();
+  return Log.empty() ? Position() : Log.back()->position();
 }
 
 bool Database::mayWrite(std::uint64_t Term, ServerFrame &Rejection) const {
@@ -408,7 +416,7 @@
   auto It = RecordedRequests.find(RequestId);
   if (It == RecordedRequests.end() || Fault == InjectedFault::ForgetRequests)
     return false;
-  const v1::LogEntry &Entry = Log[It->second - 1];
+  const v1::LogEntry &Entry = *Log[It->second - 1];
   if (!sameRequest(Entry, IssuedAtMs, Statement)) {
     Answer = frame(CODE_ID_REUSED);
     return true;
@@ -430,24 +438,30 @@
   Entry.mutable_position()->set_term(Terms.role_term());
   Entry.mutable_position()->set_index(Log.size() + 1);
   Entry.set_committed_us(monotonicUs());
-  append(Entry);
-  return Entry.position();
+  append(std::move(Entry));
+  return applied();
 }
 
-void Database::append(const v1::LogEntry &Entry) {
+void Database::append(v1::LogEntry Entry) {
   if (Journal) {
+    // Swapped in and out, because a copy of a large entry takes long.
     v1::JournalRecord Record;
-    *Record.mutable_entry() = Entry;
+    Record.mutable_entry()->Swap(&Entry);
     Journal(Record);
+    Record.mutable_entry()->Swap(&Entry);
   }
-  for (const v1::Statement &S : Entry.statements()) {
+  addToLog(std::make_shared<const v1::LogEntry>(std::move(Entry)));
+}
+
+void Database::addToLog(EntryRef Entry) {
+  for (const v1::Statement &S : Entry->statements()) {
     Cell &C = Cells[S.key()];
     apply(S, C.Content);
-    C.Changed = Entry.position();
+    C.Changed = Entry->position();
   }
-  if (!Entry.request_id().empty())
-    RecordedRequests[Entry.request_id()] = Entry.position().index();
-  Log.push_back(Entry);
+  if (!Entry->request_id().empty())
+    RecordedRequests[Entry->request_id()] = Entry->position().index();
+  Log.push_back(std::move(Entry));
 }
 
 void Database::truncateLog(std::uint64_t Index) {
@@ -456,15 +470,13 @@
     Record.set_cut(Index);
     Journal(Record);
   }
-  auto SavedJournal = std::exchange(Journal, {});
-  std::deque<v1::LogEntry> Kept;
+  std::deque<EntryRef> Kept;
   Kept.swap(Log);
   Kept.resize(std::min<std::size_t>(Index, Kept.size()));
   Cells.clear();
   RecordedRequests.clear();
-  for (const v1::LogEntry &Entry : Kept)
-    append(Entry);
-  Journal = std::move(SavedJournal);
+  for (EntryRef &Entry : Kept)
+    addToLog(std::move(Entry));
 }
 
 void Database::storeTerms() {
--- a/tests/standin/src/database.h
+++ b/tests/standin/src/database.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -54,6 +55,19 @@
   SwapResults,
 };
 
+/// An entry of a log; it is never changed, so it can be read without a lock.
+using EntryRef = std::shared_ptr<const v1::LogEntry>;
+
+/// An answer to a pull whose entries are not copied yet.
+struct PullResult {
+  /// The answer without its entries.
+  v1::PullAnswer Header;
+  std::vector<EntryRef> Entries;
+
+  /// The complete answer, with copies of the entries.
+  v1::PullAnswer message() const;
+};
+
 /// Log, terms and contents of one simulated server.
 class Database {
 public:
@@ -92,16 +106,22 @@
   /// Answers a pull of a replica. Entries committed after \p NewestUs, a time
   /// of monotonicUs(), are held back to simulate replication lag.
   v1::PullAnswer pull(const v1::PullRequest &Request,
-                      std::int64_t NewestUs) const;
+                      std::int64_t NewestUs) const {
+    return findEntries(Request, NewestUs).message();
+  }
+  /// Like pull, for a server that copies the entries after it has unlocked the
+  /// database.
+  PullResult findEntries(const v1::PullRequest &Request,
+                         std::int64_t NewestUs) const;
   /// Fills in the next pull to send to the primary; false if this server is not
   /// a replica of the raised term.
   bool nextPull(v1::PullRequest &Request, std::string &PrimaryAddress) const;
   /// Applies the answer of the primary of \p Term to the log; false if the
   /// answer is rejected.
-  bool replicate(std::uint64_t Term, const v1::PullAnswer &Answer);
+  bool replicate(std::uint64_t Term, v1::PullAnswer Answer);
 
   types::v1::UpstreamStatus status() const;
-  const std::deque<v1::LogEntry> &log() const { return Log; }
+  const std::deque<EntryRef> &log() const { return Log; }
 
   /// Age in milliseconds at which a request id expires.
   std::int64_t RetentionMs = 24LL * 60 * 60 * 1000;
@@ -132,7 +152,9 @@
   /// it.
   Position commitEntry(v1::LogEntry Entry);
   /// Journals an entry that has a position, then applies it.
-  void append(const v1::LogEntry &Entry);
+  void append(v1::LogEntry Entry);
+  /// Applies an entry to the contents and adds it to the log.
+  void addToLog(EntryRef Entry);
   /// Removes the entries after \p Index and rebuilds the contents.
   void truncateLog(std::uint64_t Index);
   void storeTerms();
@@ -142,7 +164,7 @@
   std::string LastResult;
   std::function<void(const v1::JournalRecord &)> Journal;
   v1::TermState Terms;
-  std::deque<v1::LogEntry> Log;
+  std::deque<EntryRef> Log;
   std::unordered_map<std::string, Cell> Cells;
   /// Log index of the entry that a request id committed.
   std::unordered_map<std::string, std::uint64_t> RecordedRequests;
--- a/tests/standin/src/upstream.cpp
+++ b/tests/standin/src/upstream.cpp
@@ -24,6 +24,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using namespace upstream::v1;
+using types::v1::UpstreamStatus;
 
 /// How long the primary may hold a pull open until it has new entries.
 constexpr std::uint32_t PullWaitMs = 50;
@@ -101,6 +102,7 @@
     if (truncate(File.c_str(), Complete) != 0)
       throw std::runtime_error("cannot truncate journal " + File);
     JournalFile.open(File, std::ios::app | std::ios::binary);
+    publishStatus();
   }
 
   /// Whether no term has been raised yet, in this run or in the journal.
@@ -112,12 +114,13 @@
   /// the address is empty.
   void initializeRole(std::uint64_t Term, const std::string &PrimaryAddress) {
     std::lock_guard Lock(Mutex);
-    if (!PrimaryAddress.empty()) {
+    if (PrimaryAddress.empty()) {
+      Db.raiseTerm(Term, "initial");
+      Db.promote(Term, "initial");
+    } else {
       Db.follow(Term, PrimaryAddress);
-      return;
     }
-    Db.raiseTerm(Term, "initial");
-    Db.promote(Term, "initial");
+    publishStatus();
   }
 
   /// Serves one connection until its stream ends.
@@ -136,10 +139,10 @@
   grpc::Status Log(grpc::ServerContext *, const v1::LogRequest *,
                    grpc::ServerWriter<v1::LogEntry> *Writer) override {
     std::unique_lock Lock(Mutex);
-    std::deque<v1::LogEntry> Copy = Db.log();
+    std::deque<EntryRef> Entries = Db.log();
     Lock.unlock();
-    for (const v1::LogEntry &Entry : Copy)
-      Writer->Write(Entry);
+    for (const EntryRef &Entry : Entries)
+      Writer->Write(*Entry);
     return grpc::Status::OK;
   }
 
@@ -163,11 +166,23 @@
   ServerFrame execute(const Execute &Request, Session &S);
   ServerFrame commit(const Commit &Request, Session &S);
   ServerFrame confirm(const ConfirmTerm &Request);
-  /// Handles every request that takes no slot, except a confirmation.
+  /// Handles every request that takes no slot, except a confirmation and those
+  /// that report the status.
   ServerFrame control(const ClientFrame &In, Session &S);
+  /// Answers Open and Status without the lock on the database, which a large
+  /// value can keep locked for longer than a proxy waits for a connection.
+  ServerFrame reportStatus();
+  /// Makes the status known to reportStatus. Called with the database locked,
+  /// after every change.
+  UpstreamStatus publishStatus() {
+    UpstreamStatus S = Db.status();
+    std::lock_guard Lock(StatusMutex);
+    PublishedStatus = S;
+    return S;
+  }
   /// Adds the status of the server to an answer.
   ServerFrame withStatus(ServerFrame F) {
-    *F.mutable_status() = Db.status();
+    *F.mutable_status() = publishStatus();
     return F;
   }
   /// Waits for a slot, holds it for the service time, then runs \p Effect with
@@ -190,6 +205,8 @@
   std::condition_variable Changed;
   std::ofstream JournalFile;
   Database Db;
+  std::mutex StatusMutex;
+  UpstreamStatus PublishedStatus;
   std::map<std::string, std::string> AddressMap;
   Slots FreeSlots;
   std::mutex SessionMutex;
@@ -246,12 +263,16 @@
   auto Deadline = steady_clock::now() + milliseconds(Request->wait_ms());
   std::unique_lock Lock(Mutex);
   while (true) {
-    *Answer = Db.pull(*Request, monotonicUs() - Request->lag_ms() * 1000LL);
-    if (Answer->code() != CODE_OK || Answer->entries_size() > 0 ||
-        Answer->common() < Request->last_index() ||
-        Answer->history_size() != Request->history_size() ||
-        steady_clock::now() >= Deadline)
+    PullResult Found =
+        Db.findEntries(*Request, monotonicUs() - Request->lag_ms() * 1000LL);
+    if (Found.Header.code() != CODE_OK || !Found.Entries.empty() ||
+        Found.Header.common() < Request->last_index() ||
+        Found.Header.history_size() != Request->history_size() ||
+        steady_clock::now() >= Deadline) {
+      Lock.unlock();
+      *Answer = Found.message();
       return grpc::Status::OK;
+    }
     // Nothing notifies Changed when an entry that the lag holds back becomes
     // due, so poll for it every millisecond.
     bool HeldBack = Db.log().size() > Request->last_index();
@@ -268,6 +289,9 @@
     return commit(In.commit(), S);
   case ClientFrame::kConfirmTerm:
     return confirm(In.confirm_term());
+  case ClientFrame::kOpen:
+  case ClientFrame::kStatus:
+    return reportStatus();
   default:
     return control(In, S);
   }
@@ -326,15 +350,21 @@
   return withStatus(Db.confirm(Request.term(), Request.position()));
 }
 
+ServerFrame Server::reportStatus() {
+  ++ControlRequests;
+  ServerFrame F;
+  F.set_code(CODE_OK);
+  std::lock_guard Lock(StatusMutex);
+  *F.mutable_status() = PublishedStatus;
+  return F;
+}
+
 ServerFrame Server::control(const ClientFrame &In, Session &S) {
   ++ControlRequests;
   std::lock_guard Lock(Mutex);
   ServerFrame F;
   F.set_code(CODE_OK);
   switch (In.body_case()) {
-  case ClientFrame::kOpen:
-  case ClientFrame::kStatus:
-    break;
   case ClientFrame::kBegin: {
     Transaction T;
     F = Db.begin(In.begin(), T);
@@ -401,8 +431,9 @@
       std::lock_guard Lock(Mutex);
       // The answer to a pull sent before the lag was changed must not bypass
       // the new lag.
-      Applied =
-          Request.lag_ms() == LagMs && Db.replicate(Request.term(), Answer);
+      Applied = Request.lag_ms() == LagMs &&
+                Db.replicate(Request.term(), std::move(Answer));
+      publishStatus();
       Changed.notify_all();
     } else {
       Channel.reset();
@@ -430,7 +461,7 @@
     Db.RetentionMs = In->retention_ms();
   if (In->has_leaving())
     Db.Leaving = In->leaving();
-  *State->mutable_status() = Db.status();
+  *State->mutable_status() = publishStatus();
   Lock.unlock();
   std::lock_guard SessionLock(SessionMutex);
   auto Remaining = In->hang_connections();
