--- a/packages/engine/include/engine/replymatch.h
+++ b/packages/engine/include/engine/replymatch.h
@@ -60,10 +60,11 @@
 
 /// Compares an answer with the request in progress, null if there is none, and
 /// with earlier answers, and remembers it. An answer with a signature belongs
-/// to a statement of a caller and has a signature that no other has. Answers to
-/// requests of the proxy itself have none, so that a repeated one can be taken
-/// for the answer to such a request; the surplus is then found by the next
-/// statement.
+/// to a statement of a caller, and no other answer has its signature. Answers
+/// to requests of the proxy itself have none, so that a repeated one can be
+/// taken for the answer to such a request. The real one then arrives while the
+/// next statement waits, and is passed over: a statement is never answered
+/// without a signature.
 ReplyMatch matchReply(ReplyHistory &History, const ServerCall *Request,
                       const ServerReply &Reply, Instant Now);
 
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -193,8 +193,8 @@
   bool Clean = !Reply.NoAnswer && Reply.State == TransactionState::None;
   if (HoldsTransaction && Reply.Error &&
       Reply.State == TransactionState::Open) {
-    // The connection takes no further statement after an error, and ends the
-    // transaction with it.
+    // The connection takes no further statement after an error. Closing it
+    // rolls the transaction back, so that nothing of it is kept.
     HoldsTransaction = false;
     Reply.Error = ReplyCode::Aborted;
     Reply.ErrorText =
@@ -278,7 +278,7 @@
       !MayHaveRun || !J->Write || J->Kind == JobKind::FirstInTransaction;
   bool Permanent = Reply.Error && detail::isPermanent(*Reply.Error);
   if (Reply.Error == ReplyCode::TooBig && A->MinPosition && !J->PrimaryOnly) {
-    // It may fit without the position.
+    // The primary needs no position in front of the statement.
     J->PrimaryOnly = true;
     requeue(J, Duration::zero());
     return;
--- a/packages/engine/src/replymatch.cpp
+++ b/packages/engine/src/replymatch.cpp
@@ -82,9 +82,10 @@
                           const ServerReply &Reply, bool Seen) {
   if (Seen)
     return ReplyMatch::Repeated;
+  bool Commits =
+      Request.Command == ServerCommand::Statement && Request.Text == "COMMIT";
   bool LeavesTransaction = H.State == TransactionState::Open &&
-                           Reply.State == TransactionState::None &&
-                           Request.Text != "COMMIT";
+                           Reply.State == TransactionState::None && !Commits;
   if (!Reply.Signature.empty())
     return LeavesTransaction ? ReplyMatch::Impossible : ReplyMatch::Answer;
   if (!Reply.Rows.empty() || H.AnswersWithoutSignature == 0)
--- a/packages/engine/test/replymatch-test.cpp
+++ b/packages/engine/test/replymatch-test.cpp
@@ -71,6 +71,9 @@
   CHECK(match(H, &Write, success("s1", TransactionState::Open)) ==
         ReplyMatch::Answer);
   CHECK(match(H, &Write, success("s2")) == ReplyMatch::Impossible);
+  ServerCall Execute = Commit;
+  Execute.Command = ServerCommand::Execute;
+  CHECK(match(H, &Execute, success("s2")) == ReplyMatch::Impossible);
   CHECK(match(H, &Commit, success("s3")) == ReplyMatch::Answer);
 }
 
