Lint: order of the fields of a job, comparison of prepared statements

Cause: the linter reports padding of Job and the parameter of a defaulted <=>. Change: the new flag stands with the other flags; == and < in place of <=>. Measured: by the next lint.

--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -105,8 +105,6 @@
   std::shared_ptr<PeerConnection> ForwardedTo;
   /// Number of the exchange with that proxy.
   std::uint64_t Exchange = 0;
-  /// It leaves no room in a message for the position that a replica must hold.
-  bool PrimaryOnly = false;
   /// Servers that are not tried again, because an attempt there failed or was
   /// slow.
   std::vector<UpstreamId> Excluded;
@@ -127,6 +125,8 @@
   bool Finished = false;
   /// It is in the queue of the group.
   bool Waiting = false;
+  /// It leaves no room in a message for the position that a replica must hold.
+  bool PrimaryOnly = false;
   bool ServedByReplica = false;
   /// The attempt that started last; null if it has ended.
   std::shared_ptr<Attempt> CurrentAttempt;
--- a/packages/kernel/include/kernel/sessionstate.h
+++ b/packages/kernel/include/kernel/sessionstate.h
@@ -5,11 +5,11 @@
 #ifndef EELGRASSLOOM_KERNEL_SESSIONSTATE_H
 #define EELGRASSLOOM_KERNEL_SESSIONSTATE_H
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace eelgrassloom {
@@ -21,7 +21,10 @@
   /// receive unchanged.
   std::string Shape;
 
-  auto operator<=>(const PreparedStatement &) const = default;
+  bool operator==(const PreparedStatement &) const = default;
+  bool operator<(const PreparedStatement &Other) const {
+    return std::tie(Write, Shape) < std::tie(Other.Write, Other.Shape);
+  }
 };
 
 /// Variables that a caller has set and statements that it has prepared. They
