Customers and their keys identify callers

Change: kernel/customers.h holds the customers of a configuration, their keys and limits. A session is opened only with a key of a customer or for a public route, each statement is checked again, forwarded statements carry the customer, a hash of the key and the version of the configuration, and a proxy with a newer one refuses a removed key. Keys are in no log line or finding.

--- a/packages/control/test/configreader-test.cpp
+++ b/packages/control/test/configreader-test.cpp
@@ -87,7 +87,7 @@
   Fleet F(1);
   F.advance(2s);
   F.proxy(0).Events->take();
-  CHECK(F.proxy(0).SessionEngine->open("unknown", {}) == nullptr);
+  CHECK(F.proxy(0).SessionEngine->open({"unknown", {}}, {}).Opened == nullptr);
   CHECK(contains(F.proxy(0).Events->take(),
                  "\"database-refused\",\"id\":\"\",\"database\":\"unknown\","
                  "\"version\":1"));
--- a/packages/control/test/fakefleet-test.cpp
+++ b/packages/control/test/fakefleet-test.cpp
@@ -85,10 +85,13 @@
   };
   P->Events = std::make_unique<EventWriter>(Id, [] { return std::int64_t{0}; });
   P->Counters = Metrics::create();
-  Dialer Dial = [this, Id](const ServerEntry &E, Duration Timeout,
+  Dialer Dial = [this, Id](const DialRequest &Request,
                            std::function<void(DialResult)> Done) {
+    const ServerEntry &E = Request.Server;
     if (Reachable.count(E.Id) == 0 || Blocked[Id].count(E.Id) != 0)
-      Time.after(Timeout, [Done] { Done({DialOutcome::TimedOut, {}, {}}); });
+      Time.after(Request.Timeout, [Done] {
+        Done({DialOutcome::TimedOut, {}, {}});
+      });
     else
       Time.after(AnswerTime, [this, Done, Id = E.Id] {
         Done({DialOutcome::Connected,
--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -6,6 +6,7 @@
 #define EELGRASSLOOM_ENGINE_ENGINE_H
 
 #include "engine/forward.h"
+#include "engine/limiter.h"
 #include "engine/session.h"
 #include "kernel/shutdown.h"
 
@@ -33,6 +34,11 @@
   /// All registered proxies, including this one.
   void setPeers(const std::vector<PeerInfo> &Registered);
 
+  /// Limits the operations of customers. Without this call they are not
+  /// limited.
+  void setLimiter(OperationLimiter Next) { Limiter = std::move(Next); }
+  const OperationLimiter &limiter() const { return Limiter; }
+
   const RoutingConfig &config() const { return Config; }
   /// Null if no configuration has named the service.
   std::shared_ptr<Group> group(std::string_view Service) const;
@@ -41,11 +47,16 @@
     return Groups;
   }
 
-  /// Opens a session; null if there is no route for the database.
-  std::shared_ptr<Session> open(std::string Database, ReplySink Reply);
+  /// Opens a session if there is a route for the database and the key of the
+  /// caller may use it.
+  SessionOpening open(SessionRequest Request, ReplySink Reply);
   /// Logs that there is no route for a database. \p Statement is the id of the
   /// refused statement, empty for a new session.
   void logNoRoute(std::string_view Database, std::string_view Statement);
+  /// Logs that a key may not use a database. \p Customer is the one that the
+  /// key has identified before, empty if there is none.
+  void logNotAuthorized(std::string_view Database, std::string_view Statement,
+                        std::string_view Customer);
   /// Called by a session that has been closed.
   void removeSession(Session &S);
   std::size_t sessionCount() const { return Sessions.size(); }
@@ -66,6 +77,11 @@
   /// TickInterval.
   void tick();
 
+  /// Why statements of \p Customer may not run with the key of this hash any
+  /// more, according to the configuration in force; empty if they may.
+  std::optional<ReplyCode> keyRefusal(const CustomerId &Customer,
+                                      std::uint64_t KeyHash) const;
+
 private:
   Engine(std::string FailureDomain, const RuntimeHooks &Hooks, Dialer Dial,
          EventWriter &Events, Metrics &Counters)
@@ -87,6 +103,7 @@
   /// Failure domains with a registered proxy.
   std::size_t FailureDomainCount = 1;
   StatementForwarder *Forwarder = nullptr;
+  OperationLimiter Limiter;
   std::map<std::string, std::shared_ptr<Group>, std::less<>> Groups;
   std::map<SessionId, std::shared_ptr<Session>> Sessions;
   SessionId NextSession = 1;
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -59,6 +59,7 @@
   StatementForwarded,
   DatabaseRefused,
   StatementCut,
+  CallerNotAuthorized,
   InputRejected,
   LinesDropped,
   AnswerRejected,
@@ -73,7 +74,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 45> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 46> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -116,6 +117,7 @@
     {165, "statement-forwarded", 40},
     {166, "database-refused", 20},
     {167, "statement-cut", 40},
+    {168, "caller-not-authorized", 20},
     {170, "input-rejected", 20},
     {171, "lines-dropped", 1},
     {172, "answer-rejected", 20},
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -69,6 +69,11 @@
   std::string Id;
   std::string Text;
   SessionId Session = 0;
+  /// Customer of the caller, empty if it has none, the hash of its key, and the
+  /// version of the configuration by which the sender has checked the key.
+  CustomerId Customer;
+  std::uint64_t KeyHash = 0;
+  std::uint64_t ConfigVersion = 0;
   SessionState State;
   std::optional<PreparedStatement> Prepared;
   RouteConfig Route;
@@ -315,6 +320,8 @@
   // Statements of other proxies that run here.
   void handleClientMessage(const PeerClientRef &Client, std::string_view Bytes);
   void runForwarded(const PeerClientRef &Client, ForwardRequest Message);
+  std::optional<ReplyCode> keyRefusal(const ForwardRequest &Message) const;
+  bool lacksCustomer(const ForwardRequest &Message) const;
   void sendAnswer(const PeerClientRef &Client, std::uint64_t Exchange,
                   std::uint64_t Transaction, const std::string &Service,
                   JobResult Result);
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -71,6 +71,11 @@
   /// statement has begun the transaction on a server yet.
   bool EndsTransaction = false;
   SessionId Session = 0;
+  /// Customer that the statement belongs to; empty: none. It runs only on
+  /// connections of this customer.
+  CustomerId Customer;
+  /// Hash of the key by which the caller was identified.
+  std::uint64_t KeyHash = 0;
   const SessionState *State = nullptr;
   std::optional<PreparedStatement> Prepared;
   RouteConfig Route;
@@ -158,6 +163,10 @@
   void submit(JobRef J);
   /// Runs a statement here, whoever owns the service.
   void runLocally(const JobRef &J);
+  /// Refuses the waiting statements for which \p Refusal returns a reason: the
+  /// key of the caller has been removed.
+  void refuseWaiting(
+      const std::function<std::optional<ReplyCode>(const Job &)> &Refusal);
   /// Gives up a statement whose caller has disconnected; Job::Done is not
   /// called any more.
   void cancel(const JobRef &J);
--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -29,8 +29,16 @@
 };
 using ConnectionRef = std::shared_ptr<PooledConnection>;
 
+/// A connection to open.
+struct DialRequest {
+  ServerEntry Server;
+  /// Customer that the connection belongs to; empty: none.
+  CustomerId Customer;
+  Duration Timeout{0};
+};
+
 /// Opens a connection to a server; the handler runs exactly once.
-using Dialer = std::function<void(const ServerEntry &Server, Duration Timeout,
+using Dialer = std::function<void(const DialRequest &Request,
                                   std::function<void(DialResult)> Done)>;
 
 struct PoolOptions {
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -44,6 +44,21 @@
   return SessionEndNames[static_cast<std::size_t>(E)];
 }
 
+/// What a caller wants to open.
+struct SessionRequest {
+  std::string Database;
+  /// Identifies the customer of the caller. It is a secret, see CustomerConfig.
+  std::string Key;
+};
+
+class Session;
+
+/// The session that was opened, or why there is none.
+struct SessionOpening {
+  std::shared_ptr<Session> Opened;
+  ReplyCode Refusal = ReplyCode::NoDatabase;
+};
+
 /// Receives the answers to the statements of a session.
 using ReplySink = std::function<void(CallerReply)>;
 
@@ -51,7 +66,8 @@
 class Session : public std::enable_shared_from_this<Session> {
 public:
   static std::shared_ptr<Session> create(Engine &SessionEngine, SessionId Id,
-                                         std::string Database, ReplySink Reply);
+                                         SessionRequest Request,
+                                         ReplySink Reply);
 
   /// Queues a statement; its answer goes to the ReplySink.
   void submit(Statement S);
@@ -85,13 +101,18 @@
   void endTransaction(std::string_view Reason);
 
 private:
-  Session(Engine &SessionEngine, SessionId Id, std::string Database,
+  Session(Engine &SessionEngine, SessionId Id, SessionRequest Request,
           ReplySink Reply)
-      : SessionEngine(SessionEngine), Id(Id), Database(std::move(Database)),
+      : SessionEngine(SessionEngine), Id(Id),
+        Database(std::move(Request.Database)), Key(std::move(Request.Key)),
         Reply(std::move(Reply)) {}
 
   void processQueue();
   void handle(const Statement &S);
+  /// Checks the key of the caller against the configuration in force. Answers
+  /// \p S with an error and returns false if it may not run; an open
+  /// transaction is rolled back then.
+  bool authorize(const Statement &S);
   void begin(const Statement &S);
   void commit(const Statement &S);
   void rollBack();
@@ -125,6 +146,9 @@
   Engine &SessionEngine;
   const SessionId Id;
   const std::string Database;
+  const std::string Key;
+  /// Customer of the current or the last operation; empty if it had none.
+  CustomerId Customer;
   ReplySink Reply;
   SessionState CallerState;
   TransactionState State = TransactionState::None;
--- a/packages/engine/include/engine/types.h
+++ b/packages/engine/include/engine/types.h
@@ -90,11 +90,14 @@
   TooBig,
   /// A code that this proxy does not know.
   Other,
+  /// The key of the caller identifies no customer. The number of each code is
+  /// part of the messages between proxies, so that new codes come last.
+  NotAuthorized,
 };
-inline constexpr std::array<std::string_view, 14> ReplyCodeNames = {
+inline constexpr std::array<std::string_view, 15> ReplyCodeNames = {
     "busy",        "aborted",   "lagging", "read-only", "wrong-server",
     "too-many",    "unknown",   "timeout", "failed",    "no-statement",
-    "no-database", "malformed", "too-big", "other"};
+    "no-database", "malformed", "too-big", "other",     "not-authorized"};
 constexpr std::string_view name(ReplyCode C) {
   return ReplyCodeNames[static_cast<std::size_t>(C)];
 }
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -34,6 +34,9 @@
        {"routes", static_cast<std::uint64_t>(Config.Routes.size())},
        {"services", static_cast<std::uint64_t>(Config.Services.size())}});
   refreshGroups();
+  for (const auto &Entry : Groups)
+    Entry.second->refuseWaiting(
+        [this](const Job &J) { return keyRefusal(J.Customer, J.KeyHash); });
   return true;
 }
 
@@ -83,16 +86,22 @@
   return It == Groups.end() ? nullptr : It->second;
 }
 
-std::shared_ptr<Session> Engine::open(std::string Database, ReplySink Reply) {
-  if (Config.Routes.find(Database) == Config.Routes.end()) {
-    logNoRoute(Database, {});
-    return nullptr;
+SessionOpening Engine::open(SessionRequest Request, ReplySink Reply) {
+  auto Route = Config.Routes.find(Request.Database);
+  if (Route == Config.Routes.end()) {
+    logNoRoute(Request.Database, {});
+    return {nullptr, ReplyCode::NoDatabase};
+  }
+  if (!identifyCaller(Config.Customers, Route->second.Public, Request.Key)
+           .Authorized) {
+    logNotAuthorized(Request.Database, {}, {});
+    return {nullptr, ReplyCode::NotAuthorized};
   }
-  auto S = Session::create(*this, NextSession++, std::move(Database),
+  auto S = Session::create(*this, NextSession++, std::move(Request),
                            std::move(Reply));
   Sessions[S->id()] = S;
   Counters.setSessionCount(Sessions.size());
-  return S;
+  return {std::move(S), {}};
 }
 
 void Engine::logNoRoute(std::string_view Database, std::string_view Statement) {
@@ -103,6 +112,30 @@
                 {"in_force_ms", Hooks.Now() - ConfigAppliedAt}});
 }
 
+void Engine::logNotAuthorized(std::string_view Database,
+                              std::string_view Statement,
+                              std::string_view Customer) {
+  Events.write(EngineEvent::CallerNotAuthorized,
+               {{"id", Statement},
+                {"database", Database},
+                {"customer", Customer},
+                {"version", Config.Version},
+                {"in_force_ms", Hooks.Now() - ConfigAppliedAt}});
+}
+
+std::optional<ReplyCode> Engine::keyRefusal(const CustomerId &Customer,
+                                            std::uint64_t KeyHash) const {
+  if (Customer.empty() || Config.Customers.empty())
+    return std::nullopt;
+  auto It = Config.Customers.ByKeyHash.find(KeyHash);
+  if (It == Config.Customers.ByKeyHash.end())
+    return ReplyCode::NotAuthorized;
+  // The key belongs to another customer now; the caller may try again.
+  if (It->second != Customer)
+    return ReplyCode::Aborted;
+  return std::nullopt;
+}
+
 void Engine::removeSession(Session &S) {
   Sessions.erase(S.id());
   Counters.setSessionCount(Sessions.size());
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -24,13 +24,17 @@
          J.Kind == JobKind::FirstInTransaction;
 }
 
-ForwardRequest makeRequest(const Job &J, std::uint64_t Exchange, Instant Now) {
+ForwardRequest makeRequest(const Job &J, std::uint64_t Exchange,
+                           std::uint64_t ConfigVersion, Instant Now) {
   ForwardRequest M;
   M.Exchange = Exchange;
   M.Kind = J.Kind;
   M.Id = J.Call.Id;
   M.Text = J.Call.Text;
   M.Session = J.Session;
+  M.Customer = J.Customer;
+  M.KeyHash = J.KeyHash;
+  M.ConfigVersion = ConfigVersion;
   M.State.Variables = J.State->Variables;
   M.Prepared = J.Prepared;
   M.Route = J.Route;
@@ -167,7 +171,8 @@
 bool StatementForwarder::sendTo(const PeerConnectionRef &Connection,
                                 const JobRef &J) {
   Instant Now = SessionEngine.runtime().Now();
-  std::string Bytes = encode(detail::makeRequest(*J, NextExchange, Now));
+  std::string Bytes = encode(detail::makeRequest(
+      *J, NextExchange, SessionEngine.config().Version, Now));
   if (Bytes.size() > MaxForwardBytes)
     return false;
   J->ForwardedTo = Connection;
--- a/packages/engine/src/forwardcodec.cpp
+++ b/packages/engine/src/forwardcodec.cpp
@@ -58,7 +58,8 @@
        json::array({M.Write, M.ReadOnly, M.Wrote}), M.Transaction,
        json::array(
            {encodePosition(M.LastCommit.Committed), M.LastCommit.Epoch}),
-       toMicros(M.Age), toMicros(M.OperationAge), toMicros(M.FirstTryAge)});
+       toMicros(M.Age), toMicros(M.OperationAge), toMicros(M.FirstTryAge),
+       M.Customer, M.KeyHash, M.ConfigVersion, R.Public});
 }
 
 json encodeBody(const ForwardAnswer &M) {
@@ -164,6 +165,12 @@
   M.OperationAge = decodeMicros(V.at(13));
   // Proxies of the previous version do not send it.
   M.FirstTryAge = V.size() > 14 ? decodeMicros(V.at(14)) : M.OperationAge;
+  if (V.size() > 18) {
+    M.Customer = V.at(15).get<std::string>();
+    M.KeyHash = decodeInteger<std::uint64_t>(V.at(16));
+    M.ConfigVersion = decodeInteger<std::uint64_t>(V.at(17));
+    M.Route.Public = V.at(18).get<bool>();
+  }
   return M;
 }
 
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -120,6 +120,23 @@
     Client->Stream->send(encode(CurrentServers()));
 }
 
+/// Refuses the statement if this proxy has a newer configuration than the
+/// sender and the key of the caller is not in it any more.
+std::optional<ReplyCode>
+StatementForwarder::keyRefusal(const ForwardRequest &M) const {
+  if (SessionEngine.config().Version <= M.ConfigVersion)
+    return std::nullopt;
+  return SessionEngine.keyRefusal(M.Customer, M.KeyHash);
+}
+
+/// True for a statement of a proxy whose program does not know customers. It
+/// must not run on a connection of the proxy, because the server would not be
+/// told its customer.
+bool StatementForwarder::lacksCustomer(const ForwardRequest &M) const {
+  return M.Customer.empty() && !M.Route.Public &&
+         !SessionEngine.config().Customers.empty();
+}
+
 void StatementForwarder::runForwarded(const PeerClientRef &Client,
                                       ForwardRequest M) {
   ForwardAnswer Refusal;
@@ -132,7 +149,17 @@
     Client->Stream->send(encode(Refusal));
     return;
   }
-  if (!G || (M.Transaction == 0 && (Stopping || !SessionEngine.ready()))) {
+  if (auto Code = keyRefusal(M)) {
+    if (M.Transaction != 0)
+      rollBackForwarded(Client, M.Transaction);
+    Refusal.Reply.Error = Code;
+    Refusal.Reply.ErrorText = "the key of the caller was removed";
+    SessionEngine.logNotAuthorized({}, M.Id, M.Customer);
+    Client->Stream->send(encode(Refusal));
+    return;
+  }
+  if (!G || lacksCustomer(M) ||
+      (M.Transaction == 0 && (Stopping || !SessionEngine.ready()))) {
     Refusal.Unservable = true;
     Client->Stream->send(encode(Refusal));
     return;
@@ -142,6 +169,8 @@
   J->LocalOnly = true;
   J->Kind = M.Kind;
   J->Call = {std::move(M.Id), std::move(M.Text), {}};
+  J->Customer = std::move(M.Customer);
+  J->KeyHash = M.KeyHash;
   J->Session = (Client->Number << detail::PeerSessionShift) | M.Session;
   J->ForwardedState = std::make_shared<SessionState>(std::move(M.State));
   J->State = J->ForwardedState.get();
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -250,6 +250,7 @@
                {{"id", J->Call.Id},
                 {"session", J->Session},
                 {"service", Service},
+                {"customer", J->Customer},
                 {"rank", name(J->Route.WorkPriority)},
                 {"attempts", J->Attempts},
                 {"epoch", Lease.Epoch},
--- a/packages/engine/src/grouprefuse.cpp
+++ b/packages/engine/src/grouprefuse.cpp
@@ -79,12 +79,24 @@
   return Pause;
 }
 
+void Group::refuseWaiting(
+    const std::function<std::optional<ReplyCode>(const Job &)> &Refusal) {
+  std::vector<JobRef> Jobs(Waiting.begin(), Waiting.end());
+  for (const JobRef &J : Jobs) {
+    if (!J->Waiting || J->Running != 0 || J->Sent)
+      continue;
+    if (auto Code = Refusal(*J))
+      refuse(J, *Code, "the key of the caller was removed");
+  }
+}
+
 void Group::refuse(const JobRef &J, ReplyCode Code, std::string_view Reason,
                    bool Unservable) {
   Events.write(EngineEvent::StatementRefused,
                {{"id", J->Call.Id},
                 {"session", J->Session},
                 {"service", Service},
+                {"customer", J->Customer},
                 {"rank", name(J->Route.WorkPriority)},
                 {"reason", Reason},
                 {"waiting", static_cast<std::uint64_t>(Waiting.size())},
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -114,7 +114,7 @@
     return;
   ++Dialing;
   Instant StartedAt = Hooks.Now();
-  Dial(Server, Options.DialTimeout,
+  Dial({Server, {}, Options.DialTimeout},
        [Self = shared_from_this(), StartedAt](const DialResult &Result) {
          Self->handleDialResult(Result, StartedAt);
        });
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -30,10 +30,10 @@
 } // namespace detail
 
 std::shared_ptr<Session> Session::create(Engine &SessionEngine, SessionId Id,
-                                         std::string Database,
+                                         SessionRequest Request,
                                          ReplySink Reply) {
   auto S = std::shared_ptr<Session>(
-      new Session(SessionEngine, Id, std::move(Database), std::move(Reply)));
+      new Session(SessionEngine, Id, std::move(Request), std::move(Reply)));
   S->IdleSince = SessionEngine.runtime().Now();
   return S;
 }
@@ -60,6 +60,31 @@
   Handling = false;
 }
 
+bool Session::authorize(const Statement &S) {
+  const CustomerTable &Customers = SessionEngine.config().Customers;
+  CallerIdentity Caller = identifyCaller(Customers, Route.Public, Key);
+  bool InTransaction = State != TransactionState::None;
+  if (!InTransaction && Caller.Authorized)
+    Customer = Caller.Customer;
+  // A key may pass from one customer to another. A transaction ends then,
+  // because its connection belongs to the first one.
+  if (Caller.Authorized && Caller.Customer == Customer)
+    return true;
+  SessionEngine.logNotAuthorized(Database, S.Id, Customer);
+  if (InTransaction) {
+    if (Pinned)
+      ServiceGroup->rollBack(*Pinned);
+    Pinned.reset();
+    State = S.Kind == StatementKind::Commit ? TransactionState::None
+                                            : TransactionState::Failed;
+  }
+  if (Caller.Authorized)
+    answerError(ReplyCode::Aborted, "the key belongs to another customer now");
+  else
+    answerError(ReplyCode::NotAuthorized, "the key is not known");
+  return false;
+}
+
 bool Session::resolveRoute() {
   auto It = SessionEngine.config().Routes.find(Database);
   if (It == SessionEngine.config().Routes.end())
@@ -133,6 +158,8 @@
     refuseDatabase(S);
     return;
   }
+  if (!authorize(S))
+    return;
   State = TransactionState::Open;
   ReadOnly = S.Kind == StatementKind::BeginRead;
   Wrote = false;
@@ -187,6 +214,8 @@
     refuseDatabase(S);
     return;
   }
+  if (!authorize(S))
+    return;
   auto J = std::make_shared<Job>();
   if (!fillCall(S, *J)) {
     answerError(ReplyCode::NoStatement, S.Name);
@@ -201,6 +230,8 @@
 
 void Session::run(const JobRef &J) {
   J->Session = Id;
+  J->Customer = Customer;
+  J->KeyHash = Customer.empty() ? 0 : hashOfKey(Key);
   J->State = &CallerState;
   J->Route = Route;
   J->ReadOnly = ReadOnly;
@@ -228,6 +259,8 @@
     answerError(ReplyCode::Aborted, "the transaction was rolled back");
     return;
   }
+  if (!authorize(S))
+    return;
   auto J = std::make_shared<Job>();
   J->Call = {S.Id, S.Text, {}};
   // If no statement has begun the transaction on a server, it is begun together
--- a/packages/engine/test/fakes-test.cpp
+++ b/packages/engine/test/fakes-test.cpp
@@ -97,12 +97,15 @@
   Hooks.After = [this](Duration D, std::function<void()> Run) {
     Timers.push_back({Now + D, std::move(Run)});
   };
-  Dialer Dial = [this](const ServerEntry &E, Duration Timeout,
+  Dialer Dial = [this](const DialRequest &Request,
                        std::function<void(DialResult)> Done) {
-    FakeServer &S = Servers.at(E.Id);
+    FakeServer &S = Servers.at(Request.Server.Id);
     ++S.Handshakes;
+    S.Dialed.push_back(Request.Customer);
     if (S.Unresponsive) {
-      Hooks.After(Timeout, [Done] { Done({DialOutcome::TimedOut, {}, {}}); });
+      Hooks.After(Request.Timeout, [Done] {
+        Done({DialOutcome::TimedOut, {}, {}});
+      });
       return;
     }
     Ready.push_back([this, &S, Done] {
@@ -180,8 +183,15 @@
 }
 
 std::shared_ptr<Session> EngineFixture::open(const std::string &Database) {
-  return SessionEngine->open(
-      Database, [this](const CallerReply &R) { Replies.push_back(R); });
+  return open(Database, {});
+}
+
+std::shared_ptr<Session> EngineFixture::open(const std::string &Database,
+                                             const std::string &Key) {
+  return SessionEngine
+      ->open({Database, Key},
+             [this](const CallerReply &R) { Replies.push_back(R); })
+      .Opened;
 }
 
 Statement read(const std::string &Id) {
--- a/packages/engine/test/fakes.h
+++ b/packages/engine/test/fakes.h
@@ -26,6 +26,8 @@
   Position Log{1, 10};
   std::vector<ServerCall> Received;
   std::size_t Handshakes = 0;
+  /// Customer of each dial.
+  std::vector<CustomerId> Dialed;
 
   /// Number of received requests with this text.
   std::size_t count(const std::string &Text) const {
@@ -53,6 +55,8 @@
 
   /// Opens a session; all answers of all sessions are added to Replies.
   std::shared_ptr<Session> open(const std::string &Database);
+  std::shared_ptr<Session> open(const std::string &Database,
+                                const std::string &Key);
   std::vector<CallerReply> Replies;
   const CallerReply &last() const { return Replies.back(); }
 
--- a/packages/engine/test/forwardcodec-test.cpp
+++ b/packages/engine/test/forwardcodec-test.cpp
@@ -31,12 +31,16 @@
     M.Prepared = PreparedStatement{any<bool>(), any<std::string>()};
   M.Route.Service = any<std::string>();
   M.Route.StalenessBound = anyAge();
+  M.Route.Public = any<bool>();
   M.Write = any<bool>();
   M.Transaction = any<std::uint64_t>();
   M.LastCommit = {{any<std::uint64_t>(), any<std::uint64_t>()}, 5};
   M.Age = anyAge();
   M.OperationAge = anyAge();
   M.FirstTryAge = anyAge();
+  M.Customer = any<std::string>();
+  M.KeyHash = any<std::uint64_t>();
+  M.ConfigVersion = any<std::uint64_t>();
   return M;
 }
 
@@ -91,6 +95,9 @@
     RC_ASSERT(Out.Age == M.Age);
     RC_ASSERT(Out.OperationAge == M.OperationAge);
     RC_ASSERT(Out.FirstTryAge == M.FirstTryAge);
+    RC_ASSERT(Out.Customer == M.Customer);
+    RC_ASSERT(Out.KeyHash == M.KeyHash);
+    RC_ASSERT(Out.ConfigVersion == M.ConfigVersion);
   }));
 }
 
--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -16,7 +16,7 @@
     Server.Slots = 6;
     Pool = ServerPool::create(
         Server, 4, Hooks,
-        [this](const ServerEntry &, Duration, auto Done) {
+        [this](const DialRequest &, auto Done) {
           ++Dials;
           AnswerDial = std::move(Done);
         },
--- a/packages/kernel/include/kernel/routes.h
+++ b/packages/kernel/include/kernel/routes.h
@@ -5,6 +5,7 @@
 #ifndef EELGRASSLOOM_KERNEL_ROUTES_H
 #define EELGRASSLOOM_KERNEL_ROUTES_H
 
+#include "kernel/customers.h"
 #include "kernel/model.h"
 #include "kernel/position.h"
 #include <cstdint>
@@ -43,6 +44,8 @@
   /// Latency objective of an operation.
   Duration LatencyObjective = std::chrono::seconds(1);
   Priority WorkPriority = Priority::Normal;
+  /// Callers need no key, and their statements belong to no customer.
+  bool Public = false;
 
   bool operator==(const RouteConfig &) const = default;
 };
@@ -65,6 +68,7 @@
   /// By database.
   std::map<std::string, RouteConfig, std::less<>> Routes;
   std::map<std::string, ServiceConfig, std::less<>> Services;
+  CustomerTable Customers;
   /// A transaction that is idle for this long may be ended.
   Duration TransactionIdle = std::chrono::seconds(3);
 };
