Connections to servers belong to customers

Cause: a pooled connection served every caller; 87 customers share 56 connections of a server. Change: kernel/connectioncache.h decides which idle connection gives way; pools acquire, open and close by customer, owners share what the reserve leaves, a new owner begins with the reserve, placement prefers servers where the customer has a connection.

--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -154,6 +154,8 @@
   /// forwarder outlives the group; null if there is none.
   void setForwarder(StatementForwarder *NewForwarder, bool Needed);
   bool usesOwners() const { return OwnersNeeded; }
+  /// Connections belong to customers from now on, or to nobody.
+  void setPerCustomer(bool Enabled) { PerCustomer = Enabled; }
   /// True if this proxy runs statements of the service: it needs no owner, is
   /// the owner, or has run a statement within the last few seconds.
   bool inUse() const;
@@ -234,6 +236,9 @@
   /// servers are then divided among the owners, not among all proxies.
   bool actsAsOwner() const;
   void updateLimits();
+  /// Connections that this proxy may open to each server if they belong to
+  /// customers.
+  unsigned customerConnectionLimit();
   /// Forwards waiting statements to the owner. They waited here because the
   /// owner could not be reached when they arrived.
   void forwardWaiting();
@@ -247,7 +252,11 @@
   void removeFromQueue(const JobRef &J);
   /// The most urgent priority of the waiting statements, of which there is one.
   Priority mostUrgentWaiting() const;
-  std::vector<ServerLoad> serverLoads(Instant Now) const;
+  /// The servers as they appear to statements of the customer.
+  std::vector<ServerLoad> serverLoads(const CustomerId &Customer,
+                                      Instant Now) const;
+  /// True if some server may have a slot for the most urgent waiting statement.
+  bool anySlotFree(Instant Now) const;
   PlacementRequest makePlacementRequest(const Job &J, Instant Now) const;
   std::optional<Position> requiredPositionFor(const Job &J) const;
   void start(const JobRef &J, const std::shared_ptr<ServerPool> &Pool,
@@ -341,6 +350,11 @@
   /// Statements that wait for a server, in order of arrival in the queue.
   std::list<JobRef> Waiting;
   std::array<unsigned, PriorityCount> WaitingByPriority{};
+  WaitingByCustomer WaitingCustomers;
+  /// Each connection belongs to a customer.
+  bool PerCustomer = false;
+  /// Since when this proxy owns the service; empty if it does not.
+  std::optional<Instant> OwnerSince;
   /// All statements that this proxy has to answer or run itself, waiting ones
   /// included.
   std::list<JobRef> Active;
--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -7,6 +7,7 @@
 
 #include "engine/events.h"
 #include "engine/types.h"
+#include "kernel/connectioncache.h"
 #include "kernel/placement.h"
 #include "kernel/routes.h"
 #include "kernel/sessionstate.h"
@@ -19,6 +20,8 @@
 /// One connection, and the session state that it holds at its server.
 struct PooledConnection {
   std::shared_ptr<ServerConnection> Connection;
+  /// Customer that it belongs to; it runs statements of no other. Empty: none.
+  CustomerId Customer;
   ConnectionState State;
   /// Session that used the connection last; 0: none.
   SessionId LastSession = 0;
@@ -54,9 +57,15 @@
   /// Handshakes that this proxy may have in progress at one server. Each of
   /// them occupies a slot of the server.
   unsigned MaxDialing = 1;
+  /// The same if connections belong to customers, so that the handshake of one
+  /// customer does not delay all others.
+  unsigned MaxDialingPerCustomer = 2;
   /// Idle connections within this proxy's share of the server's connections are
   /// closed after this time.
   Duration IdleTimeout = std::chrono::seconds(4);
+  /// The same if connections belong to customers: they are closed for other
+  /// customers before.
+  Duration CustomerIdleTimeout = std::chrono::seconds(30);
   /// Idle connections beyond this share are closed after this time, so that
   /// other proxies can open theirs.
   Duration ExcessIdleTimeout = std::chrono::milliseconds(300);
@@ -73,12 +82,23 @@
   Duration OverloadTime = std::chrono::milliseconds(60);
 };
 
+/// Limits of one pool.
+struct PoolLimits {
+  /// Connections that this proxy may open.
+  unsigned Connections = 1;
+  /// Connections that the server accepts from all proxies, and the number of
+  /// proxies that share them.
+  unsigned AllProxies = 1;
+  std::size_t Sharers = 1;
+  /// Each connection belongs to a customer.
+  bool PerCustomer = false;
+};
+
 /// The connections of this proxy to one server. Not copyable: dial handlers
 /// refer to it.
 class ServerPool : public std::enable_shared_from_this<ServerPool> {
 public:
   static std::shared_ptr<ServerPool> create(ServerEntry Server,
-                                            unsigned MaxPoolSize,
                                             const RuntimeHooks &Hooks,
                                             Dialer Dial, EventWriter &Events);
 
@@ -86,31 +106,33 @@
   /// Takes over a changed registry entry. The backoff ends if the server has
   /// restarted or has another address.
   void update(const ServerEntry &Changed);
-  /// Sets the number of connections that this proxy may open, the number that
-  /// the server accepts from all proxies, and the number of proxies that share
-  /// them.
-  void setLimits(unsigned ConnectionLimit, unsigned AllProxiesLimit,
-                 std::size_t Sharers);
+  void setLimits(const PoolLimits &Next) { Limits = Next; }
 
   /// \p Handler is called when a connection has been released and when a dial
   /// has ended.
   void onChange(std::function<void()> Handler) { Changed = std::move(Handler); }
 
-  /// Reserves an idle connection, preferably the one that the session used
-  /// last; null if there is none.
-  ConnectionRef acquire(SessionId Session);
+  /// Reserves an idle connection of the customer, preferably the one that the
+  /// session used last; null if there is none.
+  ConnectionRef acquire(SessionId Session, const CustomerId &Customer);
+  /// Reserves any idle connection for a request of the proxy itself.
+  ConnectionRef acquireForProxy();
   /// Returns a connection to the pool. \p Reuse must be false, which closes the
   /// connection, if an exchange did not finish or a transaction may be open.
   void release(const ConnectionRef &Connection, bool Reuse);
-  /// Starts to open a connection if none is idle and the limits allow it.
-  void ensureConnection();
+  /// Starts to open a connection for the customer if none of it is idle or
+  /// being opened and the limits allow it. If the pool is full, an idle
+  /// connection of another customer is closed, see chooseEviction().
+  void ensureConnection(const ConnectionRequest &Request);
   /// Starts to open a connection, if the limits allow it, although one may be
   /// idle: the open ones may be lost.
-  void openAnother();
+  void openAnother(const ConnectionRequest &Request);
 
-  bool hasIdle() const;
-  /// A connection is idle, is being opened or may be opened now.
-  bool available() const;
+  /// A connection of the customer is idle.
+  bool hasIdle(const CustomerId &Customer) const;
+  /// A connection of the customer is idle, is being opened or may be opened
+  /// now.
+  bool available(const CustomerId &Customer) const;
   /// Dials have failed for longer than PoolOptions::UnreachableAfter, or
   /// PoolOptions::MinRefusals of them failed otherwise than by a timeout.
   bool unreachable() const;
@@ -121,6 +143,10 @@
   /// Statements of this proxy that may run at the server at once.
   unsigned limit() const;
   std::size_t connections() const { return Open.size(); }
+  /// Connections closed so far to make room for another customer.
+  std::uint64_t evictions() const { return EvictionCount; }
+  /// Adds the number of open connections of each customer to \p Counts.
+  void countConnections(std::map<CustomerId, unsigned> &Counts) const;
 
   /// Records an exchange without an answer that was sent at \p SentAt. Idle
   /// connections without an answer since then may be lost as well and are
@@ -147,10 +173,10 @@
   Instant AppliedAt;
 
 private:
-  ServerPool(ServerEntry Server, unsigned MaxPoolSize,
-             const RuntimeHooks &Hooks, Dialer Dial, EventWriter &Events)
-      : Server(std::move(Server)), MaxPoolSize(MaxPoolSize), Hooks(Hooks),
-        Dial(std::move(Dial)), Events(Events) {}
+  ServerPool(ServerEntry Server, const RuntimeHooks &Hooks, Dialer Dial,
+             EventWriter &Events)
+      : Server(std::move(Server)), Hooks(Hooks), Dial(std::move(Dial)),
+        Events(Events) {}
 
   /// No session uses the connection, and one may.
   static bool idle(const PooledConnection &C) {
@@ -158,16 +184,23 @@
   }
   /// Closes idle connections that must not be used any more.
   void dropUnusable();
-  void handleDialResult(const DialResult &Result, Instant StartedAt);
+  void handleDialResult(const CustomerId &Customer, const DialResult &Result,
+                        Instant StartedAt);
   void handleDialFailure(DialOutcome Outcome, Instant StartedAt);
+  /// A handshake may begin now, as far as its number and earlier failures tell.
   bool mayDial() const;
+  /// The limit allows another connection.
+  bool hasRoom() const;
+  /// The idle connection to close for the request; null if there is none.
+  ConnectionRef evictionFor(const ConnectionRequest &Request) const;
+  void close(const ConnectionRef &Connection);
+  /// Reserves \p Connection, which may be null.
+  ConnectionRef take(ConnectionRef Connection, SessionId Session);
   void reportReachability();
   void markReachable();
 
   ServerEntry Server;
-  unsigned MaxPoolSize;
-  unsigned ServerConnectionCap = 1;
-  std::size_t ProxyCount = 1;
+  PoolLimits Limits;
   const RuntimeHooks &Hooks;
   Dialer Dial;
   EventWriter &Events;
@@ -175,6 +208,10 @@
   std::function<void()> Changed;
   std::set<ConnectionRef> Open;
   unsigned Dialing = 0;
+  /// Handshakes in progress by customer.
+  std::map<CustomerId, unsigned, std::less<>> DialingFor;
+  CustomerUse Use;
+  std::uint64_t EvictionCount = 0;
   /// Failed dials, other than timeouts, since the server was last reachable.
   unsigned Refusals = 0;
   /// Raised by each failed exchange and lowered by each one that succeeds.
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -76,6 +76,7 @@
       }
     Entry->setForwarder(Forwarder,
                         ownersNeeded(Slots, Service.ConnectionCap, ProxyCount));
+    Entry->setPerCustomer(!Config.Customers.empty());
     Entry->setServers(Members, Service.ConnectionCap, FailureDomainCount,
                       ProxyCount);
   }
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -29,6 +29,9 @@
 /// One proxy may open this multiple of its equal share of the connections of a
 /// server, because proxies differ in load.
 constexpr unsigned ConnectionShareFactor = 2;
+/// An owner whose connections belong to customers uses the reserve of a server
+/// for this time, until the former owner has closed its connections.
+constexpr Duration NewOwnerTime = std::chrono::seconds(5);
 /// Lower bound of the connections that one proxy may open to a server.
 constexpr unsigned MinConnections = 3;
 
@@ -59,7 +62,7 @@
     Known.insert(Server.Id);
     auto &Pool = Pools[Server.Id];
     if (!Pool) {
-      Pool = ServerPool::create(Server, 1, Hooks, Dial, Events);
+      Pool = ServerPool::create(Server, Hooks, Dial, Events);
       Pool->onChange([Weak = weak_from_this()] {
         if (auto Self = Weak.lock())
           Self->schedule();
@@ -95,12 +98,35 @@
                           Hooks.Now() - LastRunForPeers < detail::RecentUse);
 }
 
+unsigned Group::customerConnectionLimit() {
+  Instant Now = Hooks.Now();
+  bool Owns = !OwnersNeeded || Forwarder->owns(Service);
+  if (!Owns)
+    OwnerSince.reset();
+  else if (!OwnerSince)
+    OwnerSince = Now;
+  std::size_t Sharers = OwnersNeeded ? FailureDomainCount : ProxyCount;
+  if (Owns && (!OwnersNeeded || Now - *OwnerSince >= detail::NewOwnerTime))
+    return customerConnectionShare(ConnectionCap, Sharers);
+  unsigned Reserve = connectionReserve(ConnectionCap);
+  if (Owns || actsAsOwner())
+    return std::max(1U, Reserve);
+  return std::max(1U, Reserve / static_cast<unsigned>(
+                                    std::max<std::size_t>(1, ProxyCount)));
+}
+
 void Group::updateLimits() {
   std::size_t Sharers =
       sharingProxies(actsAsOwner(), FailureDomainCount, ProxyCount);
-  unsigned Limit = detail::connectionLimit(ConnectionCap, Sharers);
+  PoolLimits Limits;
+  Limits.Connections = PerCustomer
+                           ? customerConnectionLimit()
+                           : detail::connectionLimit(ConnectionCap, Sharers);
+  Limits.AllProxies = ConnectionCap;
+  Limits.Sharers = Sharers;
+  Limits.PerCustomer = PerCustomer;
   for (const auto &Entry : Pools)
-    Entry.second->setLimits(Limit, ConnectionCap, Sharers);
+    Entry.second->setLimits(Limits);
 }
 
 void Group::setForwarder(StatementForwarder *NewForwarder, bool Needed) {
@@ -201,7 +227,7 @@
   }
   auto Pool = primaryPool();
   if (Pool && silent(*Pool, Now))
-    Pool->openAnother();
+    Pool->openAnother({});
   if (!Pool || StatusPending || !inUse() || !usable(*Pool, Now))
     return;
   Duration Age = Positions.Recent.empty() ? Duration::max()
@@ -211,10 +237,10 @@
   // Peers usually know a recent position. A connection is opened for the query
   // only if none of them does; dialing also proves whether the primary can be
   // reached.
-  ConnectionRef Connection = Pool->acquire(0);
+  ConnectionRef Connection = Pool->acquireForProxy();
   if (!Connection) {
     if (Age >= detail::DialForPositionAge)
-      Pool->ensureConnection();
+      Pool->ensureConnection({});
     return;
   }
   queryStatus(Pool, Connection);
@@ -260,7 +286,7 @@
   StatusPending = false;
   StatusPool->exchangeTimedOut(StatusSentAt);
   StatusPool->release(StatusConnection, false);
-  StatusPool->ensureConnection();
+  StatusPool->ensureConnection({});
   StatusConnection.reset();
 }
 
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -46,13 +46,14 @@
   enqueue(J);
   schedule();
   Instant Now = Hooks.Now();
-  handleUnservable(J, serverLoads(Now), Now);
+  handleUnservable(J, serverLoads(J->Customer, Now), Now);
 }
 
 void Group::enqueue(const JobRef &J) {
   J->Waiting = true;
   Waiting.push_back(J);
   ++WaitingByPriority[static_cast<std::size_t>(J->Route.WorkPriority)];
+  ++WaitingCustomers[J->Customer];
 }
 
 void Group::removeFromQueue(const JobRef &J) {
@@ -61,6 +62,9 @@
   J->Waiting = false;
   Waiting.remove(J);
   --WaitingByPriority[static_cast<std::size_t>(J->Route.WorkPriority)];
+  auto Count = WaitingCustomers.find(J->Customer);
+  if (--Count->second == 0)
+    WaitingCustomers.erase(Count);
 }
 
 Priority Group::mostUrgentWaiting() const {
@@ -90,7 +94,8 @@
     endAttempt(A, false);
 }
 
-std::vector<ServerLoad> Group::serverLoads(Instant Now) const {
+std::vector<ServerLoad> Group::serverLoads(const CustomerId &Customer,
+                                           Instant Now) const {
   std::vector<ServerLoad> Loads;
   bool LeaseHeld = valid(Lease, Now);
   for (const auto &[Id, Pool] : Pools) {
@@ -101,9 +106,11 @@
     // Without a lease, the server that the record names as primary must not be
     // used at all. It would otherwise be used as if it were a replica.
     bool IsPrimary = Load.Primary && Now >= NotPrimaryUntil;
-    Load.Available = Pool->available() && usable(*Pool, Now) &&
+    Load.Available = Pool->available(Customer) && usable(*Pool, Now) &&
                      (IsPrimary || Id != Record.Primary);
-    Load.Connected = Pool->hasIdle();
+    Load.Connected = Pool->hasIdle(Customer);
+    if (PerCustomer)
+      Load.AffinityRank = affinityRank(Customer, Id);
     Load.Suspected = Pool->suspected();
     Load.Unreachable = Pool->unreachable();
     Load.InFlight = Pool->InFlight;
@@ -148,10 +155,16 @@
   PlacementRequest Request = makePlacementRequest(*J, Now);
   auto Choice = chooseServer(Request, Loads, Now);
   if (Choice && !Loads[*Choice].Connected) {
-    Pools.find(Loads[*Choice].Id)->second->ensureConnection();
     // A handshake that takes longer than usual may never finish; any open
     // connection is better then.
-    if (J->Attempts == 0 && Now - J->Arrived < detail::MaxHandshakeWait)
+    bool MayWait =
+        J->Attempts == 0 && Now - J->Arrived < detail::MaxHandshakeWait;
+    // A customer that has waited for a handshake takes a connection even from
+    // customers with waiting statements, so that nobody waits without end.
+    ConnectionRequest Wanted = {J->Customer,
+                                MayWait ? &WaitingCustomers : nullptr};
+    Pools.find(Loads[*Choice].Id)->second->ensureConnection(Wanted);
+    if (MayWait)
       return false;
     Request.ConnectedOnly = true;
     Choice = chooseServer(Request, Loads, Now);
@@ -160,7 +173,7 @@
     return false;
   auto Pool = Pools.find(Loads[*Choice].Id)->second;
   removeFromQueue(J);
-  start(J, Pool, Pool->acquire(J->Session), Request);
+  start(J, Pool, Pool->acquire(J->Session, J->Customer), Request);
   return true;
 }
 
@@ -194,12 +207,21 @@
   return Ordered;
 }
 
+bool Group::anySlotFree(Instant Now) const {
+  // The connections of customers are checked for each statement.
+  if (!PerCustomer)
+    return anyFree(serverLoads({}, Now), mostUrgentWaiting());
+  Priority P = mostUrgentWaiting();
+  return std::any_of(Pools.begin(), Pools.end(), [&](const auto &Entry) {
+    return Entry.second->InFlight < limitFor(Entry.second->limit(), P);
+  });
+}
+
 void Group::scheduleOnce() {
   if (Waiting.empty())
     return;
   Instant Now = Hooks.Now();
-  std::vector<ServerLoad> Loads = serverLoads(Now);
-  if (!anyFree(Loads, mostUrgentWaiting()))
+  if (!anySlotFree(Now))
     return;
   std::vector<JobRef> Order = waitingInOrder(Now);
   if (Starts >= AntiStarvationInterval) {
@@ -211,13 +233,18 @@
         });
     std::rotate(Order.begin(), LeastUrgent, LeastUrgent + 1);
   }
+  std::vector<ServerLoad> Loads;
   for (const JobRef &J : Order) {
-    if (J->Finished || !J->Waiting || !tryStart(J, Loads, Now))
+    if (J->Finished || !J->Waiting)
+      continue;
+    if (Loads.empty() || PerCustomer)
+      Loads = serverLoads(J->Customer, Now);
+    if (!tryStart(J, Loads, Now))
       continue;
     Starts =
         J == Order.front() && Starts >= AntiStarvationInterval ? 0 : Starts + 1;
-    Loads = serverLoads(Now);
-    if (Waiting.empty() || !anyFree(Loads, mostUrgentWaiting()))
+    Loads.clear();
+    if (Waiting.empty() || !anySlotFree(Now))
       return;
   }
 }
@@ -336,7 +363,7 @@
   Instant Now = Hooks.Now();
   expireAttempts(Now);
   std::vector<JobRef> Jobs(Active.begin(), Active.end());
-  std::vector<ServerLoad> Loads = serverLoads(Now);
+  std::vector<ServerLoad> Loads = serverLoads({}, Now);
   for (const JobRef &J : Jobs)
     if (!J->Finished)
       expire(J, Loads, Now);
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -14,12 +14,11 @@
 } // namespace detail
 
 std::shared_ptr<ServerPool> ServerPool::create(ServerEntry Server,
-                                               unsigned MaxPoolSize,
                                                const RuntimeHooks &Hooks,
                                                Dialer Dial,
                                                EventWriter &Events) {
-  return std::shared_ptr<ServerPool>(new ServerPool(
-      std::move(Server), MaxPoolSize, Hooks, std::move(Dial), Events));
+  return std::shared_ptr<ServerPool>(
+      new ServerPool(std::move(Server), Hooks, std::move(Dial), Events));
 }
 
 void ServerPool::update(const ServerEntry &Next) {
@@ -32,18 +31,14 @@
   Backoff = Duration::zero();
 }
 
-void ServerPool::setLimits(unsigned ConnectionLimit, unsigned AllProxiesLimit,
-                           std::size_t Sharers) {
-  MaxPoolSize = ConnectionLimit;
-  ServerConnectionCap = AllProxiesLimit;
-  ProxyCount = Sharers;
-}
-
-ConnectionRef ServerPool::acquire(SessionId Session) {
+ConnectionRef ServerPool::acquire(SessionId Session,
+                                  const CustomerId &Customer) {
   dropUnusable();
+  if (Limits.PerCustomer)
+    recordUse(Use, Customer, Hooks.Now());
   ConnectionRef Best;
   for (const ConnectionRef &C : Open) {
-    if (C->Busy)
+    if (C->Busy || C->Customer != Customer)
       continue;
     if (C->LastSession == Session) {
       Best = C;
@@ -53,12 +48,30 @@
     if (!Best || C->LastAnswer > Best->LastAnswer)
       Best = C;
   }
-  if (!Best)
+  return take(std::move(Best), Session);
+}
+
+ConnectionRef ServerPool::acquireForProxy() {
+  dropUnusable();
+  ConnectionRef Newest;
+  for (const ConnectionRef &C : Open)
+    if (!C->Busy && (!Newest || C->LastAnswer > Newest->LastAnswer))
+      Newest = C;
+  return take(std::move(Newest), 0);
+}
+
+ConnectionRef ServerPool::take(ConnectionRef Connection, SessionId Session) {
+  if (!Connection)
     return nullptr;
-  Best->Busy = true;
-  Best->LastSession = Session;
-  Best->LastUsed = Hooks.Now();
-  return Best;
+  Connection->Busy = true;
+  Connection->LastSession = Session;
+  Connection->LastUsed = Hooks.Now();
+  return Connection;
+}
+
+void ServerPool::close(const ConnectionRef &Connection) {
+  Connection->Connection->close();
+  Open.erase(Connection);
 }
 
 void ServerPool::release(const ConnectionRef &Connection, bool Reuse) {
@@ -66,8 +79,7 @@
     return;
   Connection->Busy = false;
   if (!Reuse || Closed || !Connection->Connection->usable()) {
-    Connection->Connection->close();
-    Open.erase(Connection);
+    close(Connection);
   } else {
     Connection->LastAnswer = Hooks.Now();
   }
@@ -75,9 +87,16 @@
     Changed();
 }
 
-bool ServerPool::hasIdle() const {
-  return std::any_of(Open.begin(), Open.end(),
-                     [](const ConnectionRef &C) { return idle(*C); });
+bool ServerPool::hasIdle(const CustomerId &Customer) const {
+  return std::any_of(Open.begin(), Open.end(), [&](const ConnectionRef &C) {
+    return idle(*C) && C->Customer == Customer;
+  });
+}
+
+void ServerPool::countConnections(
+    std::map<CustomerId, unsigned> &Counts) const {
+  for (const ConnectionRef &C : Open)
+    ++Counts[C->Customer];
 }
 
 void ServerPool::dropUnusable() {
@@ -91,37 +110,69 @@
 
 bool ServerPool::mayDial() const {
   Instant Now = Hooks.Now();
+  unsigned MaxDialing =
+      Limits.PerCustomer ? Options.MaxDialingPerCustomer : Options.MaxDialing;
+  return !Closed && Dialing < MaxDialing && Now >= NextDial &&
+         Now >= ServerFullUntil;
+}
+
+bool ServerPool::hasRoom() const {
   auto InUse = static_cast<std::size_t>(
       std::count_if(Open.begin(), Open.end(), [](const ConnectionRef &C) {
         return C->Busy || C->Connection->usable();
       }));
-  return !Closed && Dialing < Options.MaxDialing && Now >= NextDial &&
-         Now >= ServerFullUntil && InUse + Dialing < MaxPoolSize;
+  return InUse + Dialing < Limits.Connections;
 }
 
-bool ServerPool::available() const {
-  return !Closed && (hasIdle() || mayDial() || Dialing > 0);
+ConnectionRef ServerPool::evictionFor(const ConnectionRequest &Request) const {
+  std::vector<ConnectionRef> Candidates(Open.begin(), Open.end());
+  std::vector<CachedConnection> Cached;
+  Cached.reserve(Candidates.size());
+  for (const ConnectionRef &C : Candidates)
+    Cached.push_back({C->Customer, C->Busy, C->LastUsed});
+  auto Choice = chooseEviction(Cached, Use, Request, Hooks.Now());
+  return Choice ? Candidates[*Choice] : nullptr;
 }
 
-void ServerPool::ensureConnection() {
-  if (!hasIdle())
-    openAnother();
+bool ServerPool::available(const CustomerId &Customer) const {
+  if (Closed)
+    return false;
+  return hasIdle(Customer) || DialingFor.count(Customer) != 0 ||
+         (mayDial() &&
+          (hasRoom() || evictionFor({Customer, nullptr}) != nullptr));
 }
 
-void ServerPool::openAnother() {
+void ServerPool::ensureConnection(const ConnectionRequest &Request) {
+  if (!hasIdle(Request.Customer) && DialingFor.count(Request.Customer) == 0)
+    openAnother(Request);
+}
+
+void ServerPool::openAnother(const ConnectionRequest &Request) {
   dropUnusable();
   if (!mayDial())
     return;
+  if (!hasRoom()) {
+    ConnectionRef Evicted = evictionFor(Request);
+    if (!Evicted || Dialing >= Limits.Connections)
+      return;
+    close(Evicted);
+    ++EvictionCount;
+  }
   ++Dialing;
+  ++DialingFor[Request.Customer];
   Instant StartedAt = Hooks.Now();
-  Dial({Server, {}, Options.DialTimeout},
-       [Self = shared_from_this(), StartedAt](const DialResult &Result) {
-         Self->handleDialResult(Result, StartedAt);
+  Dial({Server, Request.Customer, Options.DialTimeout},
+       [Self = shared_from_this(), Customer = Request.Customer,
+        StartedAt](const DialResult &Result) {
+         Self->handleDialResult(Customer, Result, StartedAt);
        });
 }
 
-void ServerPool::handleDialResult(const DialResult &Result, Instant StartedAt) {
+void ServerPool::handleDialResult(const CustomerId &Customer,
+                                  const DialResult &Result, Instant StartedAt) {
   --Dialing;
+  if (--DialingFor[Customer] == 0)
+    DialingFor.erase(Customer);
   if (Result.Outcome != DialOutcome::Connected) {
     handleDialFailure(Result.Outcome, StartedAt);
   } else if (Closed) {
@@ -130,7 +181,9 @@
   } else {
     auto Connection = std::make_shared<PooledConnection>();
     Connection->Connection = Result.Connection;
+    Connection->Customer = Customer;
     Connection->LastAnswer = Hooks.Now();
+    Connection->LastUsed = Connection->LastAnswer;
     Open.insert(Connection);
     Suspicion = 0;
     ServerFullBackoff = Duration::zero();
@@ -151,6 +204,10 @@
         std::clamp(2 * ServerFullBackoff, Options.InitialServerFullBackoff,
                    Options.MaxServerFullBackoff);
     ServerFullUntil = Now + ServerFullBackoff;
+    // Other proxies need connections as well. This proxy keeps one less than it
+    // had, so that the proxies come to a division that the server accepts.
+    if (ConnectionRef Evicted = evictionFor({}); Limits.PerCustomer && Evicted)
+      close(Evicted);
     markReachable(); // The server has answered.
     return;
   }
@@ -174,7 +231,7 @@
 
 void ServerPool::checkFailure(bool InUse) {
   if (InUse)
-    ensureConnection();
+    ensureConnection({});
   else if (Hooks.Now() - FailingSince >= Options.FailureRetention)
     markReachable();
 }
@@ -200,7 +257,7 @@
 }
 
 unsigned ServerPool::limit() const {
-  unsigned Limit = proxyLimit(Server.Slots, ProxyCount);
+  unsigned Limit = proxyLimit(Server.Slots, Limits.Sharers);
   return Hooks.Now() < OverloadedUntil ? std::max(1U, Limit / 2) : Limit;
 }
 
@@ -210,10 +267,8 @@
   for (const ConnectionRef &C : Open)
     if (!C->Busy && C->LastAnswer <= SentAt)
       Suspect.push_back(C);
-  for (const ConnectionRef &C : Suspect) {
-    C->Connection->close();
-    Open.erase(C);
-  }
+  for (const ConnectionRef &C : Suspect)
+    close(C);
 }
 
 void ServerPool::exchangeDone(bool Failed) {
@@ -231,7 +286,11 @@
   dropUnusable();
   Instant Now = Hooks.Now();
   std::size_t Share =
-      InUse ? ServerConnectionCap / std::max<std::size_t>(1, ProxyCount) : 0;
+      InUse ? Limits.AllProxies / std::max<std::size_t>(1, Limits.Sharers) : 0;
+  if (InUse && Limits.PerCustomer)
+    Share = Limits.Connections;
+  Duration IdleTimeout =
+      Limits.PerCustomer ? Options.CustomerIdleTimeout : Options.IdleTimeout;
   std::vector<ConnectionRef> Idle;
   for (const ConnectionRef &C : Open)
     if (!C->Busy)
@@ -243,12 +302,11 @@
   for (const ConnectionRef &C : Idle) {
     bool Excess = Open.size() > Share;
     if (Now - C->LastAnswer <
-        (Excess ? Options.ExcessIdleTimeout : Options.IdleTimeout))
+        (Excess ? Options.ExcessIdleTimeout : IdleTimeout))
       break;
     if (!Excess && Open.size() <= detail::MinPoolSize)
       break;
-    C->Connection->close();
-    Open.erase(C);
+    close(C);
   }
 }
 
--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -15,13 +15,13 @@
     Server.Id = "p";
     Server.Slots = 6;
     Pool = ServerPool::create(
-        Server, 4, Hooks,
+        Server, Hooks,
         [this](const DialRequest &, auto Done) {
           ++Dials;
           AnswerDial = std::move(Done);
         },
         Events);
-    Pool->setLimits(4, 49, 4);
+    Pool->setLimits({4, 49, 4, false});
   }
 
   void answer(DialOutcome Outcome) {
@@ -51,7 +51,7 @@
 TEST_CASE("a server that refuses connections is unreachable") {
   PoolFixture F;
   for (int I = 0; I < 2; ++I) {
-    F.Pool->ensureConnection();
+    F.Pool->ensureConnection({});
     F.answer(DialOutcome::Refused);
     F.Now += 1s;
   }
@@ -63,11 +63,11 @@
 // server for unreachable.
 TEST_CASE("a server with too many connections is not unreachable") {
   PoolFixture F;
-  F.Pool->ensureConnection();
+  F.Pool->ensureConnection({});
   F.answer(DialOutcome::TimedOut);
   F.Now += 1s;
   CHECK(F.Pool->unreachable());
-  F.Pool->ensureConnection();
+  F.Pool->ensureConnection({});
   F.answer(DialOutcome::TooManyConnections);
   CHECK_FALSE(F.Pool->unreachable());
   CHECK_FALSE(F.Pool->failing());
@@ -76,7 +76,7 @@
 TEST_CASE("a server with too many connections is dialed less and less often") {
   PoolFixture F;
   for (int I = 0; I < 400; ++I) {
-    F.Pool->ensureConnection();
+    F.Pool->ensureConnection({});
     if (F.AnswerDial)
       F.answer(DialOutcome::TooManyConnections);
     F.Now += 10ms;
@@ -90,7 +90,7 @@
 // it.
 TEST_CASE("an unused pool forgets a failure without dialing") {
   PoolFixture F;
-  F.Pool->ensureConnection();
+  F.Pool->ensureConnection({});
   F.answer(DialOutcome::TimedOut);
   F.Now += 1s;
   CHECK(F.Pool->unreachable());
@@ -108,13 +108,13 @@
   PoolFixture F;
   std::vector<std::shared_ptr<StubConnection>> Open;
   for (int I = 0; I < 4; ++I) {
-    F.Pool->openAnother();
+    F.Pool->openAnother({});
     auto Done = std::move(F.AnswerDial);
     Open.push_back(std::make_shared<StubConnection>());
     Done({DialOutcome::Connected, Open.back(), {}});
   }
-  CHECK(F.Pool->available());
+  CHECK(F.Pool->available({}));
   for (const auto &Connection : Open)
     Connection->Usable = false;
-  CHECK(F.Pool->available());
+  CHECK(F.Pool->available({}));
 }
--- /dev/null
+++ b/packages/kernel/include/kernel/connectioncache.h
@@ -0,0 +1,75 @@
+/// \file
+/// Decides which connections to a server a proxy keeps when each connection
+/// belongs to one customer. Load pattern: far more customers than connections,
+/// a few of them with most of the load. Opening a connection takes a slot of
+/// the server for about as long as a statement does.
+
+#ifndef EELGRASSLOOM_KERNEL_CONNECTIONCACHE_H
+#define EELGRASSLOOM_KERNEL_CONNECTIONCACHE_H
+
+#include "kernel/customers.h"
+#include "kernel/time.h"
+#include <cstddef>
+
+namespace eelgrassloom {
+
+/// One open connection to a server.
+struct CachedConnection {
+  CustomerId Customer;
+  /// A statement or a transaction uses it.
+  bool Busy = false;
+  Instant LastUsed;
+};
+
+/// Number of waiting statements of each customer.
+using WaitingByCustomer = std::map<CustomerId, unsigned, std::less<>>;
+
+/// How often each customer has recently used a server.
+struct CustomerUse {
+  struct Rate {
+    double Uses = 0;
+    Instant At;
+  };
+  std::map<CustomerId, Rate, std::less<>> Rates;
+};
+
+/// Counts one use.
+void recordUse(CustomerUse &Use, const CustomerId &Customer, Instant Now);
+/// Recent uses, each weighted by its age.
+double recentUse(const CustomerUse &Use, std::string_view Customer,
+                 Instant Now);
+
+/// A customer that needs a connection.
+struct ConnectionRequest {
+  CustomerId Customer;
+  /// Statements that run before those of the customer; their connections are
+  /// kept. Null if the customer has waited too long to be considerate.
+  const WaitingByCustomer *Waiting = nullptr;
+};
+
+/// Index of the idle connection to close for the request; empty if there is
+/// none. A second idle connection of a customer goes first, then the connection
+/// whose customer uses the server least, then the one that was used longest
+/// ago.
+std::optional<std::size_t>
+chooseEviction(const std::vector<CachedConnection> &Open,
+               const CustomerUse &Use, const ConnectionRequest &Request,
+               Instant Now);
+
+/// Connections that a proxy may open to a server that accepts \p Cap of them
+/// from all proxies, \p Sharers of which run its statements. The sum over all
+/// sharers leaves the reserve free.
+unsigned customerConnectionShare(unsigned Cap, std::size_t Sharers);
+
+/// Connections of a server that are left free for status queries, and for
+/// proxies that run statements in place of the owner.
+unsigned connectionReserve(unsigned Cap);
+
+/// Order in which a customer prefers the servers of a service: the lower, the
+/// earlier. Each customer keeps to few servers, so that it needs few
+/// connections.
+std::uint64_t affinityRank(std::string_view Customer, std::string_view Server);
+
+} // namespace eelgrassloom
+
+#endif // EELGRASSLOOM_KERNEL_CONNECTIONCACHE_H
--- a/packages/kernel/include/kernel/placement.h
+++ b/packages/kernel/include/kernel/placement.h
@@ -32,6 +32,9 @@
   bool Suspected = false;
   /// New connections have failed for longer than the tolerance.
   bool Unreachable = false;
+  /// Preference of the customer among servers to which it has no idle
+  /// connection, see affinityRank(); 0 if connections belong to nobody.
+  std::uint64_t AffinityRank = 0;
   unsigned InFlight = 0;
   /// Maximum number of statements of this proxy that run there at once.
   unsigned Limit = 1;
--- /dev/null
+++ b/packages/kernel/src/connectioncache.cpp
@@ -0,0 +1,85 @@
+#include "kernel/connectioncache.h"
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+#include <xxhash.h>
+
+namespace eelgrassloom {
+namespace detail {
+
+/// Age at which a use counts half.
+constexpr Duration UseHalfLife = std::chrono::seconds(10);
+/// Customers with fewer recent uses are forgotten.
+constexpr double MinRecentUse = 0.01;
+/// Part of the connections of a server that is left free.
+constexpr double ReserveShare = 0.1;
+
+double weightAt(const CustomerUse::Rate &Rate, Instant Now) {
+  double Age = std::chrono::duration<double>(Now - Rate.At).count();
+  double HalfLife = std::chrono::duration<double>(UseHalfLife).count();
+  return Rate.Uses * std::exp2(-Age / HalfLife);
+}
+
+/// True if a connection that was used later is idle and of the same customer.
+bool isSurplus(const std::vector<CachedConnection> &Open, std::size_t I) {
+  for (std::size_t Other = 0; Other < Open.size(); ++Other)
+    if (Other != I && !Open[Other].Busy &&
+        Open[Other].Customer == Open[I].Customer &&
+        std::tie(Open[Other].LastUsed, Other) > std::tie(Open[I].LastUsed, I))
+      return true;
+  return false;
+}
+
+} // namespace detail
+
+void recordUse(CustomerUse &Use, const CustomerId &Customer, Instant Now) {
+  std::erase_if(Use.Rates, [&](const auto &Entry) {
+    return detail::weightAt(Entry.second, Now) < detail::MinRecentUse;
+  });
+  CustomerUse::Rate &Rate = Use.Rates[Customer];
+  Rate = {detail::weightAt(Rate, Now) + 1, Now};
+}
+
+double recentUse(const CustomerUse &Use, std::string_view Customer,
+                 Instant Now) {
+  auto It = Use.Rates.find(Customer);
+  return It == Use.Rates.end() ? 0 : detail::weightAt(It->second, Now);
+}
+
+std::optional<std::size_t>
+chooseEviction(const std::vector<CachedConnection> &Open,
+               const CustomerUse &Use, const ConnectionRequest &Request,
+               Instant Now) {
+  using Key = std::tuple<bool, double, Instant>;
+  std::optional<std::size_t> Best;
+  Key BestKey;
+  for (std::size_t I = 0; I < Open.size(); ++I) {
+    const CachedConnection &C = Open[I];
+    if (C.Busy || C.Customer == Request.Customer ||
+        (Request.Waiting && Request.Waiting->count(C.Customer) != 0))
+      continue;
+    Key Candidate = {!detail::isSurplus(Open, I),
+                     recentUse(Use, C.Customer, Now), C.LastUsed};
+    if (!Best || Candidate < BestKey) {
+      Best = I;
+      BestKey = Candidate;
+    }
+  }
+  return Best;
+}
+
+unsigned connectionReserve(unsigned Cap) {
+  return static_cast<unsigned>(std::ceil(Cap * detail::ReserveShare));
+}
+
+unsigned customerConnectionShare(unsigned Cap, std::size_t Sharers) {
+  auto Count = static_cast<unsigned>(std::max<std::size_t>(1, Sharers));
+  return std::max(1U, (Cap - std::min(Cap, connectionReserve(Cap))) / Count);
+}
+
+std::uint64_t affinityRank(std::string_view Customer, std::string_view Server) {
+  return XXH3_64bits_withSeed(Server.data(), Server.size(),
+                              XXH3_64bits(Customer.data(), Customer.size()));
+}
+
+} // namespace eelgrassloom
--- a/packages/kernel/src/placement.cpp
+++ b/packages/kernel/src/placement.cpp
@@ -48,11 +48,14 @@
 }
 
 /// Lower is better. A replica is preferred to the primary, so that the primary
-/// keeps its slots for statements that need it.
+/// keeps its slots for statements that need it. If connections belong to
+/// customers, a server with an idle connection of the customer comes first.
 auto cost(const PlacementRequest &Request, const ServerLoad &Server) {
-  return std::make_tuple(excluded(Request, Server.Id), Server.Suspected,
-                         Server.Primary, Server.InFlight, !Server.Connected,
-                         !Server.SameFailureDomain);
+  bool Affine = Server.AffinityRank != 0;
+  return std::make_tuple(
+      excluded(Request, Server.Id), Server.Suspected, Server.Primary,
+      Affine && !Server.Connected, Server.Connected ? 0 : Server.AffinityRank,
+      Server.InFlight, !Server.Connected, !Server.SameFailureDomain);
 }
 
 } // namespace detail
