--- /dev/null
+++ b/packages/control/src/customerlimits.cpp
@@ -0,0 +1,230 @@
+// Requests for tokens by the operations that begin at this proxy.
+
+#include "control/customerlimits.h"
+#include <algorithm>
+
+namespace eelgrassloom {
+namespace detail {
+
+/// Proxies of a failure domain that grant tokens of a customer: the holder and
+/// its deputy.
+constexpr std::size_t HoldersPerDomain = 2;
+/// Retry hint if no holder answers.
+constexpr Duration NoHolderRetry = std::chrono::milliseconds(300);
+
+} // namespace detail
+
+std::unique_ptr<CustomerLimits>
+CustomerLimits::create(ProxyId Self, std::string FailureDomain,
+                       std::uint64_t Seed, Engine &SessionEngine,
+                       DatagramSender Send,
+                       const CustomerLimitOptions &Options) {
+  return std::unique_ptr<CustomerLimits>(
+      new CustomerLimits(std::move(Self), std::move(FailureDomain), Seed,
+                         SessionEngine, std::move(Send), Options));
+}
+
+OperationLimiter CustomerLimits::limiter() {
+  OperationLimiter L;
+  L.Acquire = [this](const CustomerId &Customer, PermitHandler Done) {
+    acquire(Customer, std::move(Done));
+  };
+  L.GiveBack = [this](const CustomerId &Customer) {
+    if (limitOf(Customer) != nullptr)
+      addOwn(Requesters[Customer].Own, 1, now());
+  };
+  return L;
+}
+
+void CustomerLimits::setPeers(const std::vector<PeerInfo> &Peers) {
+  std::map<ProxyId, PeerInfo, std::less<>> Next;
+  std::vector<LiveProxy> Live;
+  for (const PeerInfo &P : Peers) {
+    Next[P.Id] = P;
+    Live.push_back({P.Id, P.FailureDomain, false, P.MilliCores});
+  }
+  if (Next == Registered)
+    return;
+  Registered = std::move(Next);
+  Table = makeOwnerTable(Live);
+  Domains.clear();
+  for (const auto &Entry : Registered)
+    Domains.insert(Entry.second.FailureDomain);
+}
+
+const OperationLimit *
+CustomerLimits::limitOf(const CustomerId &Customer) const {
+  const auto &Customers = SessionEngine.config().Customers.ByName;
+  auto It = Customers.find(Customer);
+  if (It == Customers.end() || !It->second.Limit)
+    return nullptr;
+  return &*It->second.Limit;
+}
+
+std::vector<ProxyId>
+CustomerLimits::holdersIn(const std::string &Domain,
+                          const CustomerId &Customer) const {
+  std::vector<ProxyId> Holders =
+      rankedOwners(Table, Domain, "limit/" + Customer);
+  if (Holders.size() > detail::HoldersPerDomain)
+    Holders.resize(detail::HoldersPerDomain);
+  return Holders;
+}
+
+std::string CustomerLimits::addressOf(const ProxyId &Id) const {
+  auto It = Registered.find(Id);
+  return It == Registered.end() ? std::string() : It->second.Address;
+}
+
+ProxyId CustomerLimits::chooseHolder(const CustomerId &Customer) const {
+  std::vector<ProxyId> Holders = holdersIn(FailureDomain, Customer);
+  // Before the first list of proxies is read, there is only this one.
+  if (Holders.empty())
+    return Self;
+  for (const ProxyId &Id : Holders) {
+    auto It = SilentUntil.find(Id);
+    if (It == SilentUntil.end() || now() >= It->second)
+      return Id;
+  }
+  return Holders.front();
+}
+
+void CustomerLimits::acquire(const CustomerId &Customer, PermitHandler Done) {
+  if (limitOf(Customer) == nullptr) {
+    Done({true, {}});
+    return;
+  }
+  Requester &R = Requesters[Customer];
+  recordBegin(R.Own, now());
+  if (R.Waiting.empty() && takeOwn(R.Own, now())) {
+    Done({true, {}});
+    return;
+  }
+  R.Waiting.push_back({std::move(Done), now()});
+  if (R.Exchange == 0)
+    request(Customer, R);
+}
+
+void CustomerLimits::request(const CustomerId &Customer, Requester &R) {
+  R.Exchange = ++NextExchange;
+  R.SentAt = now();
+  R.Wanted =
+      tokensToRequest(R.Own, static_cast<unsigned>(R.Waiting.size()), now());
+  R.Holder = chooseHolder(Customer);
+  sendRequest(Customer, R);
+}
+
+void CustomerLimits::sendRequest(const CustomerId &Customer,
+                                 const Requester &R) {
+  std::uint64_t Exchange = R.Exchange;
+  SessionEngine.runtime().After(Options.ResendAfter, [this, Customer,
+                                                      Exchange] {
+    checkRequest(Customer, Exchange);
+  });
+  if (R.Holder == Self) {
+    handleRequest(Customer, {{}, R.Exchange, R.Wanted});
+    return;
+  }
+  UnansweredSince.try_emplace(R.Holder, now());
+  Send(addressOf(R.Holder), encode(LimitMessage{LimitMessageKind::Request,
+                                                Self, R.Exchange, Customer,
+                                                R.Wanted,
+                                                {}}));
+}
+
+void CustomerLimits::checkRequest(const CustomerId &Customer,
+                                  std::uint64_t Exchange) {
+  auto It = Requesters.find(Customer);
+  if (It == Requesters.end() || It->second.Exchange != Exchange)
+    return;
+  Requester &R = It->second;
+  auto Unanswered = UnansweredSince.find(R.Holder);
+  if (Unanswered != UnansweredSince.end() &&
+      now() - Unanswered->second >= Options.HolderTimeout) {
+    SilentUntil[R.Holder] = now() + Options.HolderRetry;
+    UnansweredSince.erase(Unanswered);
+  }
+  refuseOverdue(R);
+  if (R.Waiting.empty()) {
+    R.Exchange = 0;
+    return;
+  }
+  if (chooseHolder(Customer) != R.Holder)
+    request(Customer, R);
+  else
+    sendRequest(Customer, R);
+}
+
+void CustomerLimits::refuseOverdue(Requester &R) {
+  std::vector<PermitHandler> Overdue;
+  while (!R.Waiting.empty() &&
+         now() - R.Waiting.front().Since >= Options.MaxWait) {
+    Overdue.push_back(std::move(R.Waiting.front().Done));
+    R.Waiting.pop_front();
+  }
+  for (const PermitHandler &Done : Overdue)
+    Done(refusal(detail::NoHolderRetry));
+}
+
+OperationPermit CustomerLimits::refusal(Duration RetryAfter) {
+  std::uniform_real_distribution<double> Draw(0, 1);
+  return {false, spreadRetry(RetryAfter, Draw(Random))};
+}
+
+void CustomerLimits::handleGrant(const CustomerId &Customer,
+                                 std::uint64_t Exchange,
+                                 const TokenGrant &Grant) {
+  auto It = Requesters.find(Customer);
+  if (It == Requesters.end() || It->second.Exchange != Exchange)
+    return; // The tokens of a late answer are lost.
+  Requester &R = It->second;
+  R.Exchange = 0;
+  addOwn(R.Own, Grant.Tokens, now());
+  // The handlers may begin further operations.
+  std::vector<std::pair<PermitHandler, OperationPermit>> Answers;
+  bool Short = Grant.Tokens < R.Wanted;
+  while (!R.Waiting.empty()) {
+    OperationPermit Permit{true, {}};
+    if (!takeOwn(R.Own, now())) {
+      if (!Short)
+        break; // It arrived after the request was sent.
+      Permit = refusal(Grant.RetryAfter);
+    }
+    Answers.emplace_back(std::move(R.Waiting.front().Done), Permit);
+    R.Waiting.pop_front();
+  }
+  if (!R.Waiting.empty())
+    request(Customer, R);
+  for (const auto &[Done, Permit] : Answers)
+    Done(Permit);
+}
+
+void CustomerLimits::received(const std::string &FromAddress,
+                              const std::string &Bytes) {
+  auto Decoded = decodeLimitMessage(Bytes);
+  if (!Decoded) {
+    SessionEngine.events().write(
+        EngineEvent::InputRejected,
+        {{"from", FromAddress}, {"findings", toString(Decoded.findings())}});
+    return;
+  }
+  const LimitMessage &M = Decoded.value();
+  UnansweredSince.erase(M.From);
+  SilentUntil.erase(M.From);
+  switch (M.Kind) {
+  case LimitMessageKind::Request:
+    handleRequest(M.Customer, {FromAddress, M.Exchange, M.Tokens});
+    return;
+  case LimitMessageKind::Grant:
+    handleGrant(M.Customer, M.Exchange, {M.Tokens, M.RetryAfter});
+    return;
+  case LimitMessageKind::Borrow:
+    handleBorrow(FromAddress, M);
+    return;
+  case LimitMessageKind::Lend:
+    handleLend(M);
+    return;
+  }
+}
+
+} // namespace eelgrassloom
