Sessions begin operations of limited customers with a token

Change: control/customerlimits.h sends requests, grants and lent tokens by datagram; sessions acquire a permission at the begin of an operation and return it if nothing was sent; metrics of customers; tests of customers, keys, limits and of 50 drawn schedules of loss, partition and restart.

--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -1,7 +1,7 @@
 /// \file
 /// Limits the operations of customers over all proxies: obtains tokens from the
-/// holder of a customer's bucket in this failure domain, and holds the buckets of
-/// the customers that fall to this proxy. See kernel/customerlimit.h.
+/// holder of a customer's bucket in this failure domain, and holds the buckets
+/// of the customers that fall to this proxy. See kernel/customerlimit.h.
 
 #ifndef EELGRASSLOOM_CONTROL_CUSTOMERLIMITS_H
 #define EELGRASSLOOM_CONTROL_CUSTOMERLIMITS_H
@@ -41,8 +41,8 @@
 
 struct CustomerLimitOptions {
   /// Failure domains of the deployment, with or without proxies. The shares of
-  /// a limit don't change when one of them is lost, because its proxies may only
-  /// be unreachable from here.
+  /// a limit don't change when one of them is lost, because its proxies may
+  /// only be unreachable from here.
   std::size_t Domains = 1;
   LimitTolerance Tolerance;
   /// A request without an answer is sent again after this time.
@@ -111,6 +111,8 @@
     std::map<std::pair<std::string, std::uint64_t>, AnsweredRequest> Answered;
     Instant NextBorrow;
     bool Borrowing = false;
+    /// Borrow messages that may still be answered, once each.
+    std::set<std::uint64_t> OpenBorrows;
   };
 
   CustomerLimits(ProxyId Self, std::string FailureDomain, std::uint64_t Seed,
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -144,6 +144,10 @@
   void onRelayedPoll(RelayedPollHandler Handler) {
     RelayedPollCallback = std::move(Handler);
   }
+  /// Sets the handler that is called with each list of registered proxies.
+  void onPeers(std::function<void(const std::vector<PeerInfo> &)> Handler) {
+    PeersCallback = std::move(Handler);
+  }
   /// Sets the handler of records that other proxies have sent.
   void onRecord(std::function<void(const StoredRecord &)> Handler) {
     RecordCallback = std::move(Handler);
@@ -249,6 +253,7 @@
   std::map<ProxyId, Instant, std::less<>> AnsweredAt;
   RelayedPollHandler RelayedPollCallback;
   std::function<void(const StoredRecord &)> RecordCallback;
+  std::function<void(const std::vector<PeerInfo> &)> PeersCallback;
   std::function<void(const PeerMessage &)> AnswerCallback;
   std::function<bool(const std::string &, std::uint64_t)> MayExtend;
   /// Pollers of this failure domain. The first one polls for the others; while
--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -117,17 +117,18 @@
 void CustomerLimits::sendRequest(const CustomerId &Customer,
                                  const Requester &R) {
   std::uint64_t Exchange = R.Exchange;
-  SessionEngine.runtime().After(Options.ResendAfter, [this, Customer,
-                                                      Exchange] {
-    checkRequest(Customer, Exchange);
-  });
+  SessionEngine.runtime().After(
+      Options.ResendAfter,
+      [this, Customer, Exchange] { checkRequest(Customer, Exchange); });
   if (R.Holder == Self) {
     handleRequest(Customer, {{}, R.Exchange, R.Wanted});
     return;
   }
   UnansweredSince.try_emplace(R.Holder, now());
   Send(addressOf(R.Holder), encode(LimitMessage{LimitMessageKind::Request,
-                                                Self, R.Exchange, Customer,
+                                                Self,
+                                                R.Exchange,
+                                                Customer,
                                                 R.Wanted,
                                                 {}}));
 }
--- a/packages/control/src/limitholder.cpp
+++ b/packages/control/src/limitholder.cpp
@@ -1,5 +1,5 @@
-// The buckets of customers that this proxy holds for its failure domain, and the
-// tokens that holders lend to each other.
+// The buckets of customers that this proxy holds for its failure domain, and
+// the tokens that holders lend to each other.
 
 #include "control/customerlimits.h"
 #include <algorithm>
@@ -21,9 +21,8 @@
   HolderRank Rank = Holders.empty() || Holders.front() == Self
                         ? HolderRank::First
                         : HolderRank::Deputy;
-  LimitShare Share =
-      shareOf(Limit, Options.Tolerance,
-              std::max(Options.Domains, Domains.size()), Rank);
+  LimitShare Share = shareOf(Limit, Options.Tolerance,
+                             std::max(Options.Domains, Domains.size()), Rank);
   auto [It, New] = Buckets.try_emplace(Customer);
   if (New)
     It->second.Bucket = makeBucket(Share, now());
@@ -97,12 +96,18 @@
     return;
   Held.Borrowing = true;
   Held.NextBorrow = now() + Options.BorrowInterval;
-  for (const std::string &Address : Lenders)
-    Send(Address, encode(LimitMessage{LimitMessageKind::Borrow, Self,
-                                      ++NextExchange, Customer, Missing,
+  Held.OpenBorrows.clear();
+  for (const std::string &Address : Lenders) {
+    Held.OpenBorrows.insert(++NextExchange);
+    Send(Address, encode(LimitMessage{LimitMessageKind::Borrow,
+                                      Self,
+                                      NextExchange,
+                                      Customer,
+                                      Missing,
                                       {}}));
-  SessionEngine.runtime().After(
-      Options.BorrowWait, [this, Customer] { endBorrowing(Customer); });
+  }
+  SessionEngine.runtime().After(Options.BorrowWait,
+                                [this, Customer] { endBorrowing(Customer); });
 }
 
 /// Answers the requests that have waited for borrowed tokens.
@@ -126,14 +131,14 @@
   HeldBucket &Held = bucketOf(M.Customer, *Limit);
   unsigned Lent = lendTokens(Held.Bucket, M.Tokens, now());
   if (Lent != 0)
-    Send(Address, encode(LimitMessage{LimitMessageKind::Lend, Self, M.Exchange,
-                                      M.Customer, Lent,
-                                      {}}));
+    Send(Address,
+         encode(LimitMessage{
+             LimitMessageKind::Lend, Self, M.Exchange, M.Customer, Lent, {}}));
 }
 
 void CustomerLimits::handleLend(const LimitMessage &M) {
   auto It = Buckets.find(M.Customer);
-  if (It == Buckets.end())
+  if (It == Buckets.end() || It->second.OpenBorrows.erase(M.Exchange) == 0)
     return;
   addBorrowed(It->second.Bucket, M.Tokens, now());
   if (!It->second.Pending.empty())
--- a/packages/control/src/limitmessage.cpp
+++ b/packages/control/src/limitmessage.cpp
@@ -1,5 +1,6 @@
-// Encoding of the datagrams about customer limits: MessagePack arrays that begin
-// with a word and a version, so that they are told apart from other datagrams.
+// Encoding of the datagrams about customer limits: MessagePack arrays that
+// begin with a word and a version, so that they are told apart from other
+// datagrams.
 
 #include "control/customerlimits.h"
 #include "engine/messagepack.h"
@@ -17,8 +18,8 @@
 std::string decodeName(const json &Value) {
   auto Name = Value.get<std::string>();
   if (Name.empty() || Name.size() > MaxLimitNameBytes)
-    throw json::out_of_range::create(
-        MessageErrorId, "a name has no valid length", nullptr);
+    throw json::out_of_range::create(MessageErrorId,
+                                     "a name has no valid length", nullptr);
   return Name;
 }
 
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -64,6 +64,8 @@
   if (Pollers.size() > detail::PollersPerDomain)
     Pollers.resize(detail::PollersPerDomain);
   SessionEngine.setPeers(RegisteredPeers);
+  if (PeersCallback)
+    PeersCallback(RegisteredPeers);
   pruneContacts();
 }
 
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -62,9 +62,9 @@
           Run();
       });
     };
-    P.SessionEngine =
-        Engine::create(P.Domain, P.Hooks, [](const DialRequest &, auto) {},
-                       *P.Events, *P.Counters);
+    P.SessionEngine = Engine::create(
+        P.Domain, P.Hooks, [](const DialRequest &, auto) {}, *P.Events,
+        *P.Counters);
     P.SessionEngine->applyConfig(config(Version, CurrentRate));
     CustomerLimitOptions Options;
     Options.Domains = 3;
@@ -98,9 +98,7 @@
   }
 
   LimitedProxy &any() { return *Proxies[Random() % Proxies.size()]; }
-  double draw() {
-    return std::uniform_real_distribution<double>(0, 1)(Random);
-  }
+  double draw() { return std::uniform_real_distribution<double>(0, 1)(Random); }
 
   /// Begins operations at \p PerSecond for the time, at random proxies.
   void run(double PerSecond, Duration Time) {
@@ -239,7 +237,8 @@
   CHECK(F.Admitted.size() >= 10 * Rate / 10 / 2);
 }
 
-// Guards against tokens that are made by lost messages, restarts and partitions.
+// Guards against tokens that are made by lost messages, restarts and
+// partitions.
 TEST_CASE("no schedule of failures exceeds the limit") {
   constexpr unsigned Schedules = 50;
   constexpr unsigned Steps = 24;
--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -73,6 +73,9 @@
   EventWriter &events() { return Events; }
   Metrics &counters() { return Counters; }
 
+  /// Updates the metrics of the connections to servers.
+  void updateConnectionMetrics();
+
   /// Handles timeouts, connections and idle transactions; called every
   /// TickInterval.
   void tick();
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -76,6 +76,9 @@
   CustomerId Customer;
   /// Hash of the key by which the caller was identified.
   std::uint64_t KeyHash = 0;
+  /// The operation that the statement begins has used a permission of the
+  /// customer's limit.
+  bool HoldsPermit = false;
   const SessionState *State = nullptr;
   std::optional<PreparedStatement> Prepared;
   RouteConfig Route;
@@ -212,6 +215,9 @@
   bool quiesced() const;
   /// Servers to which dials fail, see ServerPool::unreachable().
   std::vector<UpstreamId> unreachableServers() const;
+  /// Adds the open connections of each customer to \p Counts. Returns the
+  /// number of connections that were closed so far for another customer.
+  std::uint64_t countConnections(std::map<CustomerId, unsigned> &Counts) const;
   /// No statement or attempt is in progress here.
   bool idle() const { return Active.empty() && Attempts.empty(); }
 
@@ -355,6 +361,7 @@
   bool PerCustomer = false;
   /// Since when this proxy owns the service; empty if it does not.
   std::optional<Instant> OwnerSince;
+  std::uint64_t EvictionsOfRemovedPools = 0;
   /// All statements that this proxy has to answer or run itself, waiting ones
   /// included.
   std::list<JobRef> Active;
--- a/packages/engine/include/engine/metrics.h
+++ b/packages/engine/include/engine/metrics.h
@@ -7,6 +7,7 @@
 
 #include "kernel/model.h"
 #include <array>
+#include <map>
 #include <memory>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -48,6 +49,14 @@
   /// Records a statement that another proxy ran for this one. The other proxy
   /// counts it in recordStatement().
   void recordForwarded(StatementOutcome Outcome, Duration Latency);
+  /// Records an operation of a customer that its limit has admitted or refused.
+  void recordOperation(const std::string &Customer, bool Admitted);
+  /// Sets the connections to servers that belong to each customer.
+  void setConnectionCounts(const std::map<std::string, unsigned> &Counts);
+  /// Sets the number of connections closed so far for another customer.
+  void setEvictionCount(std::uint64_t Total) {
+    Evictions->Increment(static_cast<double>(Total) - Evictions->Value());
+  }
   void recordRetry() { Retries->Increment(); }
   void recordHandshake() { Handshakes->Increment(); }
   /// Records an answer of a server that answers no request in progress.
@@ -77,6 +86,13 @@
   prometheus::Counter *Handshakes = nullptr;
   prometheus::Counter *RejectedAnswers = nullptr;
   std::array<prometheus::Counter *, 2> StoreCalls{};
+  prometheus::Family<prometheus::Counter> *Operations = nullptr;
+  /// Counters of refused and admitted operations by customer.
+  std::map<std::string, std::array<prometheus::Counter *, 2>> OperationCounters;
+  prometheus::Family<prometheus::Gauge> *Connections = nullptr;
+  prometheus::Counter *Evictions = nullptr;
+  /// Gauges that have been set, by customer.
+  std::map<std::string, prometheus::Gauge *> ConnectionGauges;
   prometheus::Gauge *Sessions = nullptr;
   prometheus::Gauge *ConfigVersion = nullptr;
   prometheus::Gauge *ConfigOutdated = nullptr;
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -19,6 +19,8 @@
 inline constexpr std::string_view StoppingReason = "the proxy stops";
 /// True for statements that a server runs.
 bool isDataStatement(StatementKind K);
+/// True for answers after which callers send the whole operation again.
+bool keepsNothing(ReplyCode Code);
 } // namespace detail
 
 /// Why a session ends.
@@ -120,6 +122,13 @@
   void runDataStatement(const Statement &S);
   bool fillCall(const Statement &S, Job &J);
   void run(const JobRef &J);
+  /// True if the statement begins an operation whose number is limited.
+  bool needsPermit(const Job &J) const;
+  void requestPermit(const JobRef &J);
+  /// Ends the statement that has no permission to begin its operation.
+  void refuseOverLimit(const JobRef &J, Duration RetryAfter);
+  /// Returns the permission of an operation that did not run.
+  void giveBackPermit(const Job &J, const ServerReply &Reply);
   void handleResult(JobRef J, JobResult Result);
   void handleCommitResult(JobResult Result);
   void answer(CallerReply R);
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -159,6 +159,15 @@
     S->abandonStatement();
 }
 
+void Engine::updateConnectionMetrics() {
+  std::map<CustomerId, unsigned> Counts;
+  std::uint64_t Evictions = 0;
+  for (const auto &Entry : Groups)
+    Evictions += Entry.second->countConnections(Counts);
+  Counters.setConnectionCounts(Counts);
+  Counters.setEvictionCount(Evictions);
+}
+
 void Engine::tick() {
   for (const auto &Entry : Groups)
     if (!Entry.second->idle())
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -87,6 +87,7 @@
     Events.write(EngineEvent::ServerRemoved,
                  {{"server", Pool->server().Id}, {"service", Service}});
     DrainingSince.erase(Pool->server().Id);
+    EvictionsOfRemovedPools += Pool->evictions();
     Pool->closeAll();
   }
   updateLimits();
@@ -290,6 +291,16 @@
   StatusConnection.reset();
 }
 
+std::uint64_t
+Group::countConnections(std::map<CustomerId, unsigned> &Counts) const {
+  std::uint64_t Evictions = EvictionsOfRemovedPools;
+  for (const auto &Entry : Pools) {
+    Entry.second->countConnections(Counts);
+    Evictions += Entry.second->evictions();
+  }
+  return Evictions;
+}
+
 void Group::close() {
   for (const auto &Entry : Pools)
     Entry.second->closeAll();
--- a/packages/engine/src/metrics.cpp
+++ b/packages/engine/src/metrics.cpp
@@ -76,6 +76,20 @@
           .Help("Calls to the store by whether they were answered.")
           .Register(Registry),
       StoreCalls, "answered", Answers);
+  Operations = &prometheus::BuildCounter()
+                    .Name("eelgrassloom_customer_operations_total")
+                    .Help("Operations by customer and whether its limit has "
+                          "admitted them.")
+                    .Register(Registry);
+  Connections = &prometheus::BuildGauge()
+                     .Name("eelgrassloom_customer_connections")
+                     .Help("Open connections to servers by customer.")
+                     .Register(Registry);
+  Evictions = &prometheus::BuildCounter()
+                   .Name("eelgrassloom_connection_evictions_total")
+                   .Help("Connections to servers closed for another customer.")
+                   .Register(Registry)
+                   .Add({});
   auto Gauge = [this](const std::string &Name, const std::string &Help) {
     return &prometheus::BuildGauge()
                 .Name(Name)
@@ -99,6 +113,27 @@
   Latency[index(P)]->Observe(std::chrono::duration<double>(Time).count());
 }
 
+void Metrics::recordOperation(const std::string &Customer, bool Admitted) {
+  auto [It, New] = OperationCounters.try_emplace(Customer);
+  if (New)
+    for (bool Value : {false, true})
+      It->second[Value] = &Operations->Add(
+          {{"customer", Customer}, {"admitted", Value ? "yes" : "no"}});
+  It->second[Admitted]->Increment();
+}
+
+void Metrics::setConnectionCounts(
+    const std::map<std::string, unsigned> &Counts) {
+  for (const auto &Entry : ConnectionGauges)
+    Entry.second->Set(0);
+  for (const auto &[Customer, Count] : Counts) {
+    auto [It, New] = ConnectionGauges.try_emplace(Customer);
+    if (New)
+      It->second = &Connections->Add({{"customer", Customer}});
+    It->second->Set(Count);
+  }
+}
+
 void Metrics::recordStoreCall(bool Answered) {
   StoreCalls[Answered ? 1 : 0]->Increment();
 }
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -19,7 +19,6 @@
          K == StatementKind::BeginRead;
 }
 
-/// True for answers after which callers send the whole operation again.
 bool keepsNothing(ReplyCode Code) {
   return Code == ReplyCode::Busy || Code == ReplyCode::Aborted ||
          Code == ReplyCode::Lagging || Code == ReplyCode::ReadOnly ||
@@ -246,7 +245,10 @@
     Self->processQueue();
   };
   Current = J;
-  ServiceGroup->submit(J);
+  if (needsPermit(*J))
+    requestPermit(J);
+  else
+    ServiceGroup->submit(J);
 }
 
 void Session::commit(const Statement &S) {
@@ -289,6 +291,7 @@
 
 void Session::handleResult(JobRef J, JobResult Result) {
   Current.reset();
+  giveBackPermit(*J, Result.Reply);
   if (Closed) {
     if (Result.Pinned)
       ServiceGroup->rollBack(*Result.Pinned);
--- /dev/null
+++ b/packages/engine/test/customers-test.cpp
@@ -0,0 +1,257 @@
+#include "proxypair.h"
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace eelgrassloom;
+using namespace eelgrassloom::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+const Statement Begin = simple(StatementKind::Begin, "BEGIN");
+const Statement Commit = simple(StatementKind::Commit, "COMMIT");
+const Statement Rollback = simple(StatementKind::Rollback, "ROLLBACK");
+
+/// Applies a configuration with these customers and the routes of the fixture.
+void setCustomers(EngineFixture &F, std::vector<CustomerConfig> Customers,
+                  Duration Settle = 0ms) {
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Customers = makeCustomerTable(std::move(Customers)).value();
+  REQUIRE(F.SessionEngine->applyConfig(Config));
+  F.advance(Settle);
+  F.renewLeaseFor(60s);
+}
+
+void setNorthAndSouth(EngineFixture &F) {
+  // After that time an owner has its whole share of the connections.
+  setCustomers(F, {{"north", {"kn"}, {}}, {"south", {"ks"}, {}}}, 10s);
+}
+
+/// A limiter that admits the given number of operations.
+struct CountingLimiter {
+  explicit CountingLimiter(EngineFixture &F, unsigned Admit) : Left(Admit) {
+    F.SessionEngine->setLimiter({[this](const CustomerId &, auto Done) {
+                                   ++Asked;
+                                   if (Deferred)
+                                     Pending.push_back(Done);
+                                   else if (Left == 0)
+                                     Done({false, 300ms});
+                                   else
+                                     Done({true, (--Left, 0ms)});
+                                 },
+                                 [this](const CustomerId &) { ++GivenBack; }});
+  }
+
+  unsigned Left;
+  unsigned Asked = 0;
+  unsigned GivenBack = 0;
+  bool Deferred = false;
+  std::vector<std::function<void(OperationPermit)>> Pending;
+};
+
+} // namespace
+
+TEST_CASE("a session with an unknown key is not opened") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  CHECK(F.open("latest", "kn") != nullptr);
+  CHECK(F.open("latest", "unknown") == nullptr);
+  CHECK(F.open("latest") == nullptr);
+  SessionOpening Refused = F.SessionEngine->open({"latest", "unknown"}, {});
+  CHECK(Refused.Refusal == ReplyCode::NotAuthorized);
+  CHECK(F.SessionEngine->open({"other", "kn"}, {}).Refusal ==
+        ReplyCode::NoDatabase);
+}
+
+TEST_CASE("a public route needs no key") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Routes["latest"].Public = true;
+  F.SessionEngine->applyConfig(Config);
+  auto S = F.open("latest", "unknown");
+  REQUIRE(S != nullptr);
+  S->submit(read("a"));
+  F.advance(100ms);
+  CHECK(F.last().Signature == "sig");
+}
+
+// Guards against a server that is told another customer than the caller's, and
+// against a statement that runs on a connection of another customer.
+TEST_CASE("each customer has connections of its own") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  F.server("p").Dialed.clear();
+  F.open("latest", "kn")->submit(read("a"));
+  F.advance(100ms);
+  F.open("latest", "ks")->submit(read("b"));
+  F.advance(100ms);
+  F.open("latest", "kn")->submit(read("c"));
+  F.advance(100ms);
+  CHECK(F.Replies.size() == 3);
+  CHECK(F.server("p").Dialed == std::vector<CustomerId>{"north", "south"});
+}
+
+// Load: more customers than connections. Guards against a customer that waits
+// because all connections belong to others.
+TEST_CASE("an idle connection is closed for a customer that has none") {
+  EngineFixture F;
+  std::vector<CustomerConfig> Customers;
+  constexpr int Count = 30;
+  for (int I = 0; I < Count; ++I)
+    Customers.push_back(
+        {"c" + std::to_string(I), {"k" + std::to_string(I)}, {}});
+  setCustomers(F, Customers, 10s);
+  for (int Round = 0; Round < 2; ++Round)
+    for (int I = 0; I < Count; ++I) {
+      F.open("latest", "k" + std::to_string(I))->submit(read("a"));
+      F.advance(50ms);
+    }
+  CHECK(F.Replies.size() == 2 * Count);
+  CHECK(std::all_of(F.Replies.begin(), F.Replies.end(),
+                    [](const CallerReply &R) { return R.Signature == "sig"; }));
+}
+
+// Guards against a caller that goes on after its key has been removed.
+TEST_CASE("a session whose key is removed runs no further statement") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  auto S = F.open("latest", "kn");
+  S->submit(read("a"));
+  F.advance(100ms);
+  setCustomers(F, {{"north", {"other"}, {}}});
+  S->submit(read("b"));
+  F.advance(100ms);
+  CHECK(F.last().Error == ReplyCode::NotAuthorized);
+  CHECK(F.server("p").count("READ b") == 0);
+  CHECK(F.SessionEngine->sessionCount() == 1);
+}
+
+TEST_CASE("a transaction whose key is removed is rolled back") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  auto S = F.open("latest", "kn");
+  S->submit(Begin);
+  S->submit(write("a"));
+  F.advance(100ms);
+  REQUIRE(F.last().Signature == "sig");
+  setCustomers(F, {{"south", {"ks"}, {}}});
+  SUBCASE("by the next statement") {
+    S->submit(write("b"));
+    F.advance(100ms);
+    CHECK(F.last().Error == ReplyCode::NotAuthorized);
+    CHECK(F.last().State == TransactionState::Failed);
+    CHECK(F.server("p").count("WRITE b x") == 0);
+  }
+  SUBCASE("by the commit") {
+    S->submit(Commit);
+    F.advance(100ms);
+    CHECK(F.last().Error == ReplyCode::NotAuthorized);
+    CHECK(F.last().State == TransactionState::None);
+  }
+  CHECK(F.server("p").count("COMMIT") == 0);
+  CHECK(F.server("p").count("ROLLBACK") == 1);
+}
+
+// Guards against callers that are refused although their key is valid.
+TEST_CASE("a key that passes to another customer goes on as that one") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  auto S = F.open("latest", "kn");
+  S->submit(Begin);
+  S->submit(write("a"));
+  F.advance(100ms);
+  setCustomers(F, {{"north", {"x"}, {}}, {"south", {"kn"}, {}}});
+  S->submit(write("b"));
+  F.advance(100ms);
+  CHECK(F.last().Error == ReplyCode::Aborted);
+  S->submit(Rollback);
+  S->submit(read("c"));
+  F.advance(100ms);
+  CHECK(F.last().Signature == "sig");
+  CHECK(F.server("p").Dialed.back() == "south");
+}
+
+// Guards against a statement that waits for a server while the key is removed.
+TEST_CASE("a waiting statement is refused when its key is removed") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  F.server("p").Unresponsive = true;
+  F.open("latest", "kn")->submit(read("a"));
+  F.advance(20ms);
+  CHECK(F.Replies.empty());
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Customers = makeCustomerTable({{"south", {"ks"}, {}}}).value();
+  F.SessionEngine->applyConfig(Config);
+  REQUIRE(F.Replies.size() == 1);
+  CHECK(F.last().Error == ReplyCode::NotAuthorized);
+}
+
+// Guards against a proxy with an old configuration whose statements another one
+// runs with a key that was removed.
+TEST_CASE("the owner refuses a key that its newer configuration lacks") {
+  ProxyPair P;
+  setNorthAndSouth(P.Entry);
+  setNorthAndSouth(P.Owner);
+  auto S = P.Entry.open("latest", "kn");
+  S->submit(read("a"));
+  P.advance(200ms);
+  REQUIRE(P.Entry.last().Signature == "sig");
+  REQUIRE(P.Owner.server("p").count("READ a") == 1);
+  setCustomers(P.Owner, {{"south", {"ks"}, {}}});
+  S->submit(read("b"));
+  P.advance(200ms);
+  CHECK(P.Entry.last().Error == ReplyCode::NotAuthorized);
+  CHECK(P.Owner.server("p").count("READ b") == 0);
+}
+
+TEST_CASE("a limit refuses the operations beyond it and not their statements") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  CountingLimiter Limiter(F, 1);
+  auto S = F.open("latest", "kn");
+  S->submit(Begin);
+  S->submit(write("a"));
+  S->submit(write("b"));
+  S->submit(Commit);
+  F.advance(100ms);
+  CHECK(Limiter.Asked == 1);
+  CHECK(F.last().Signature == "sig");
+  S->submit(read("c"));
+  F.advance(100ms);
+  CHECK(F.last().Error == ReplyCode::Busy);
+  CHECK(F.last().ErrorText.ends_with("retry after 300 ms"));
+  CHECK(F.server("p").count("READ c") == 0);
+}
+
+// Guards against permissions that are lost with operations that did not run.
+TEST_CASE("an operation that did not run returns its permission") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  CountingLimiter Limiter(F, 5);
+  F.server("p").RefusesConnections = true;
+  F.open("latest", "kn")->submit(read("a"));
+  F.advance(3s);
+  REQUIRE(F.last().Error == ReplyCode::Busy);
+  CHECK(Limiter.GivenBack == 1);
+}
+
+// Guards against a statement that runs for a caller that has left while its
+// operation waited for permission.
+TEST_CASE("a caller that leaves before the permission runs nothing") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  CountingLimiter Limiter(F, 5);
+  Limiter.Deferred = true;
+  auto S = F.open("latest", "kn");
+  S->submit(read("a"));
+  S->close(SessionEnd::CallerLeft);
+  REQUIRE(Limiter.Pending.size() == 1);
+  Limiter.Pending.front()({true, {}});
+  F.advance(100ms);
+  CHECK(F.server("p").count("READ a") == 0);
+  CHECK(Limiter.GivenBack == 1);
+}
--- a/packages/kernel/include/kernel/customerlimit.h
+++ b/packages/kernel/include/kernel/customerlimit.h
@@ -1,10 +1,10 @@
 /// \file
 /// Limits the operations of customers over all proxies with token buckets. Load
 /// pattern: one customer at several times its usual load, at many proxies, some
-/// of which can't reach each other. Each failure domain has an equal share of the
-/// bucket of a customer, which one proxy there holds. Tokens are only moved,
-/// between holders and to the proxies that begin operations: a lost message or a
-/// partition loses tokens and never makes any.
+/// of which can't reach each other. Each failure domain has an equal share of
+/// the bucket of a customer, which one proxy there holds. Tokens are only
+/// moved, between holders and to the proxies that begin operations: a lost
+/// message or a partition loses tokens and never makes any.
 
 #ifndef EELGRASSLOOM_KERNEL_CUSTOMERLIMIT_H
 #define EELGRASSLOOM_KERNEL_CUSTOMERLIMIT_H
--- a/packages/kernel/src/customerlimit.cpp
+++ b/packages/kernel/src/customerlimit.cpp
@@ -62,9 +62,9 @@
   // All callers that are refused share the next tokens.
   double Crowd = std::max(1.0, demandRate(Bucket, Now) / Rate);
   double Wait = std::max(0.0, 1 - Bucket.Tokens) / Rate * Crowd;
-  return std::clamp(std::chrono::duration_cast<Duration>(
-                        std::chrono::duration<double>(Wait)),
-                    MinRetry, MaxRetry);
+  return std::clamp(
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(Wait)),
+      MinRetry, MaxRetry);
 }
 
 } // namespace detail
@@ -103,8 +103,7 @@
 }
 
 void recordDemand(LimitBucket &Bucket, unsigned Wanted, Instant Now) {
-  Bucket.Demand =
-      detail::decayed(Bucket.Demand, Bucket.DemandAt, Now) + Wanted;
+  Bucket.Demand = detail::decayed(Bucket.Demand, Bucket.DemandAt, Now) + Wanted;
   Bucket.DemandAt = Now;
 }
 
@@ -132,8 +131,8 @@
 
 unsigned lendTokens(LimitBucket &Bucket, unsigned Wanted, Instant Now) {
   detail::fill(Bucket, Now);
-  double Spare = Bucket.Tokens -
-                 detail::demandRate(Bucket, Now) * detail::KeepSeconds;
+  double Spare =
+      Bucket.Tokens - detail::demandRate(Bucket, Now) * detail::KeepSeconds;
   // Half of a single token is nothing, so a holder without demand lends it.
   unsigned Lent = std::min(Wanted, detail::wholeTokens(Spare / 2 + 0.5));
   Lent = std::min(Lent, detail::wholeTokens(Bucket.Tokens));
