--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -60,6 +60,7 @@
   DatabaseRefused,
   StatementCut,
   CallerNotAuthorized,
+  CallerOverLimit,
   InputRejected,
   LinesDropped,
   AnswerRejected,
@@ -74,7 +75,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 46> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 47> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -118,6 +119,7 @@
     {166, "database-refused", 20},
     {167, "statement-cut", 40},
     {168, "caller-not-authorized", 20},
+    {169, "caller-over-limit", 20},
     {170, "input-rejected", 20},
     {171, "lines-dropped", 1},
     {172, "answer-rejected", 20},
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -83,6 +83,8 @@
   bool idle() const {
     return !Current && Queue.empty() && State == TransactionState::None;
   }
+  /// Statements that were submitted and not answered.
+  std::size_t unanswered() const { return Queue.size() + (Current ? 1 : 0); }
   /// An operation was refused because the proxy stops. The caller should send
   /// it again in a new session, which another proxy serves.
   bool refusedByStop() const { return RefusedByStop; }
