Refusals of sessions name the customer

Cause: a refusal because of a customer's limit did not tell the customer. Change: the events that sessions write carry it, like those of groups.

--- a/packages/engine/src/sessionstop.cpp
+++ b/packages/engine/src/sessionstop.cpp
@@ -43,6 +43,7 @@
                                {{"id", Statement},
                                 {"session", Id},
                                 {"service", Route.Service},
+                                {"customer", Customer},
                                 {"rank", name(Route.WorkPriority)},
                                 {"reason", Reason},
                                 {"after_ms", Age}});
