Buckets of customers fill from when their holder took them over

Cause: a bucket was made with a tenth of its capacity at its first use, so that the first operations of small customers were refused after every start of a proxy. Change: it counts as filled since the list of proxies last changed or the process started.

--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -120,7 +120,7 @@
                  const CustomerLimitOptions &Options)
       : Self(std::move(Self)), FailureDomain(std::move(FailureDomain)),
         Random(Seed), SessionEngine(SessionEngine), Send(std::move(Send)),
-        Options(Options), NextExchange(Random()) {}
+        Options(Options), NextExchange(Random()), HolderSince(now()) {}
 
   Instant now() const { return SessionEngine.runtime().Now(); }
   /// Null if the operations of the customer are not limited.
@@ -163,6 +163,9 @@
   DatagramSender Send;
   const CustomerLimitOptions Options;
   std::uint64_t NextExchange;
+  /// When the list of proxies last changed, or the process started: a bucket
+  /// that is used for the first time has been held since then at the latest.
+  Instant HolderSince;
   std::map<ProxyId, PeerInfo, std::less<>> Registered;
   std::set<std::string> Domains;
   OwnerTable Table;
--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -46,6 +46,7 @@
   if (Next == Registered)
     return;
   Registered = std::move(Next);
+  HolderSince = now();
   Table = makeOwnerTable(Live);
   Domains.clear();
   for (const auto &Entry : Registered)
--- a/packages/control/src/limitholder.cpp
+++ b/packages/control/src/limitholder.cpp
@@ -25,7 +25,7 @@
                              std::max(Options.Domains, Domains.size()), Rank);
   auto [It, New] = Buckets.try_emplace(Customer);
   if (New)
-    It->second.Bucket = makeBucket(Share, now());
+    It->second.Bucket = makeBucket(Share, HolderSince);
   else
     setShare(It->second.Bucket, Share, now());
   return It->second;
--- a/packages/kernel/include/kernel/customerlimit.h
+++ b/packages/kernel/include/kernel/customerlimit.h
@@ -54,9 +54,9 @@
   Instant DemandAt;
 };
 
-/// A bucket that begins with a tenth of its capacity, because an earlier holder
-/// may have granted the rest.
-LimitBucket makeBucket(const LimitShare &Share, Instant Now);
+/// A bucket that had a tenth of its capacity when this proxy became its holder,
+/// because an earlier holder may have granted the rest, and has filled since.
+LimitBucket makeBucket(const LimitShare &Share, Instant HolderSince);
 /// Applies a changed share; tokens beyond the new capacity are dropped.
 void setShare(LimitBucket &Bucket, const LimitShare &Share, Instant Now);
 
--- a/packages/kernel/src/customerlimit.cpp
+++ b/packages/kernel/src/customerlimit.cpp
@@ -86,11 +86,11 @@
   return Share;
 }
 
-LimitBucket makeBucket(const LimitShare &Share, Instant Now) {
+LimitBucket makeBucket(const LimitShare &Share, Instant HolderSince) {
   LimitBucket Bucket;
   Bucket.Share = Share;
   Bucket.Tokens = Share.Capacity * detail::InitialShare;
-  Bucket.FilledAt = Now;
+  Bucket.FilledAt = HolderSince;
   return Bucket;
 }
 
