--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -76,9 +76,6 @@
   CustomerId Customer;
   /// Hash of the key by which the caller was identified.
   std::uint64_t KeyHash = 0;
-  /// The operation that the statement begins has used a permission of the
-  /// customer's limit.
-  bool HoldsPermit = false;
   const SessionState *State = nullptr;
   std::optional<PreparedStatement> Prepared;
   RouteConfig Route;
@@ -133,6 +130,9 @@
   bool Finished = false;
   /// It is in the queue of the group.
   bool Waiting = false;
+  /// The operation that the statement begins has used a permission of the
+  /// customer's limit.
+  bool HoldsPermit = false;
   /// It leaves no room in a message for the position that a replica must hold.
   bool PrimaryOnly = false;
   bool ServedByReplica = false;
