--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -19,8 +19,10 @@
   /// A holder asks the holder of another failure domain for tokens.
   Borrow,
   Lend,
+  /// A proxy returns tokens of operations that did not run.
+  Return,
 };
-inline constexpr std::size_t LimitMessageKindCount = 4;
+inline constexpr std::size_t LimitMessageKindCount = 5;
 
 /// A datagram about the tokens of one customer.
 struct LimitMessage {
@@ -29,7 +31,7 @@
   /// Chosen by the sender of a request and repeated in the answer.
   std::uint64_t Exchange = 0;
   CustomerId Customer;
-  /// Request, Borrow: tokens wanted. Grant, Lend: tokens given.
+  /// Request, Borrow: tokens wanted. Grant, Lend, Return: tokens given.
   unsigned Tokens = 0;
   /// Grant: when to try again, if there are fewer tokens than wanted.
   Duration RetryAfter{0};
@@ -109,6 +111,8 @@
     /// Recent answers by requester and exchange. A repeated request gets the
     /// same answer, and no further tokens.
     std::map<std::pair<std::string, std::uint64_t>, AnsweredRequest> Answered;
+    /// Recent returns by sender and exchange, each of which counts once.
+    std::map<std::pair<std::string, std::uint64_t>, Instant> Returned;
     Instant NextBorrow;
     bool Borrowing = false;
     /// Borrow messages that may still be answered, once each.
@@ -137,6 +141,8 @@
                    const TokenGrant &Grant);
   void refuseOverdue(Requester &R);
   OperationPermit refusal(Duration RetryAfter);
+  /// Returns the token of an operation that did not run to its holder.
+  void giveBack(const CustomerId &Customer);
 
   // Buckets that this proxy holds.
   HeldBucket &bucketOf(const CustomerId &Customer, const OperationLimit &Limit);
@@ -148,6 +154,9 @@
   void endBorrowing(const CustomerId &Customer);
   void handleBorrow(const std::string &Address, const LimitMessage &Message);
   void handleLend(const LimitMessage &Message);
+  /// \p Address is empty for tokens of this proxy.
+  void handleReturn(const std::string &Address, std::uint64_t Exchange,
+                    const CustomerId &Customer, unsigned Tokens);
 
   /// The proxies of a failure domain that may hold the bucket, in order.
   std::vector<ProxyId> holdersIn(const std::string &Domain,
--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -31,7 +31,7 @@
   };
   L.GiveBack = [this](const CustomerId &Customer) {
     if (limitOf(Customer) != nullptr)
-      addOwn(Requesters[Customer].Own, 1, now());
+      giveBack(Customer);
   };
   return L;
 }
@@ -173,6 +173,24 @@
   return {false, spreadRetry(RetryAfter, Draw(Random))};
 }
 
+void CustomerLimits::giveBack(const CustomerId &Customer) {
+  Requester &R = Requesters[Customer];
+  if (!R.Waiting.empty()) {
+    PermitHandler Done = std::move(R.Waiting.front().Done);
+    R.Waiting.pop_front();
+    Done({true, {}});
+    return;
+  }
+  ProxyId Holder = chooseHolder(Customer);
+  std::uint64_t Exchange = ++NextExchange;
+  if (Holder == Self)
+    handleReturn({}, Exchange, Customer, 1);
+  else
+    Send(addressOf(Holder),
+         encode(LimitMessage{
+             LimitMessageKind::Return, Self, Exchange, Customer, 1, {}}));
+}
+
 void CustomerLimits::handleGrant(const CustomerId &Customer,
                                  std::uint64_t Exchange,
                                  const TokenGrant &Grant) {
@@ -226,6 +244,9 @@
   case LimitMessageKind::Lend:
     handleLend(M);
     return;
+  case LimitMessageKind::Return:
+    handleReturn(FromAddress, M.Exchange, M.Customer, M.Tokens);
+    return;
   }
 }
 
--- a/packages/control/src/limitholder.cpp
+++ b/packages/control/src/limitholder.cpp
@@ -136,6 +136,21 @@
              LimitMessageKind::Lend, Self, M.Exchange, M.Customer, Lent, {}}));
 }
 
+void CustomerLimits::handleReturn(const std::string &Address,
+                                  std::uint64_t Exchange,
+                                  const CustomerId &Customer, unsigned Tokens) {
+  // Only a bucket that has granted tokens takes them back.
+  auto It = Buckets.find(Customer);
+  if (It == Buckets.end())
+    return;
+  HeldBucket &Held = It->second;
+  std::erase_if(Held.Returned, [&](const auto &Entry) {
+    return now() - Entry.second >= detail::AnswerRetention;
+  });
+  if (Held.Returned.emplace(std::pair(Address, Exchange), now()).second)
+    returnTokens(Held.Bucket, Tokens, now());
+}
+
 void CustomerLimits::handleLend(const LimitMessage &M) {
   auto It = Buckets.find(M.Customer);
   if (It == Buckets.end() || It->second.OpenBorrows.erase(M.Exchange) == 0)
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -89,11 +89,13 @@
     if (!P.Running)
       return;
     ++Begun;
-    P.Limits->limiter().Acquire("customer", [this](OperationPermit Permit) {
-      if (Permit.Granted)
-        Admitted.push_back(Now);
-      else
+    P.Limits->limiter().Acquire("customer", [this, &P](OperationPermit Permit) {
+      if (!Permit.Granted)
         ++Refused;
+      else if (draw() < NotRun)
+        P.Limits->limiter().GiveBack("customer");
+      else
+        Admitted.push_back(Now);
     });
   }
 
@@ -123,6 +125,8 @@
   std::vector<std::unique_ptr<LimitedProxy>> Proxies;
   Instant Now{100s};
   double Loss = 0;
+  /// Share of the admitted operations that don't run.
+  double NotRun = 0;
   /// Failure domain that is cut off from the others; empty: none.
   std::string CutOff;
   std::vector<Instant> Admitted;
@@ -225,6 +229,16 @@
   CHECK(F.Admitted.size() >= 15 * Rate * 0.9);
 }
 
+// Guards against callers whose tries are refused for another reason, so that
+// the next try finds the limit used up.
+TEST_CASE("operations that did not run do not count") {
+  LimitedFleet F(10, 5);
+  F.NotRun = 0.8;
+  F.run(3 * Rate, 15s);
+  // A fifth of all operations runs, less than the limit.
+  CHECK(F.Refused * 20 <= F.Begun);
+}
+
 // Guards against a lower limit that is not kept.
 TEST_CASE("a lower limit binds") {
   LimitedFleet F(5, 4);
@@ -246,6 +260,7 @@
     LimitedFleet F(4, 1000 + Seed);
     for (unsigned Step = 0; Step < Steps; ++Step) {
       double What = F.draw();
+      F.NotRun = F.draw() * 0.5;
       if (What < 0.2)
         F.Loss = F.draw() * 0.4;
       else if (What < 0.4)
--- a/packages/kernel/include/kernel/customerlimit.h
+++ b/packages/kernel/include/kernel/customerlimit.h
@@ -76,6 +76,8 @@
 /// Takes tokens for the holder of another failure domain: up to half of those
 /// that this one does not need itself.
 unsigned lendTokens(LimitBucket &Bucket, unsigned Wanted, Instant Now);
+/// Takes back tokens that were granted and not used, up to the capacity.
+void returnTokens(LimitBucket &Bucket, unsigned Tokens, Instant Now);
 /// Adds tokens that another holder has lent.
 void addBorrowed(LimitBucket &Bucket, unsigned Tokens, Instant Now);
 
--- a/packages/kernel/src/customerlimit.cpp
+++ b/packages/kernel/src/customerlimit.cpp
@@ -140,6 +140,11 @@
   return Lent;
 }
 
+void returnTokens(LimitBucket &Bucket, unsigned Tokens, Instant Now) {
+  detail::fill(Bucket, Now);
+  Bucket.Tokens = std::min(Bucket.Share.Capacity, Bucket.Tokens + Tokens);
+}
+
 void addBorrowed(LimitBucket &Bucket, unsigned Tokens, Instant Now) {
   detail::fill(Bucket, Now);
   Bucket.Borrowed += Tokens;
