Pools above a lowered limit shrink before they dial

Cause: a full pool closed one idle connection for each one that it opened. After the limit was lowered, for example when the proxies of further failure domains had registered, it stayed above its share of the connections of the server. Change: openAnother() closes idle connections until the limit allows one more. Result: the new test in pool-test.cpp (limit lowered from 4 to 2) kept 3 open connections and 1 in progress before, now 1 and 1; engine-tests pass.

--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -151,7 +151,8 @@
   dropUnusable();
   if (!mayDial())
     return;
-  if (!hasRoom()) {
+  // The limit may have been lowered, so that one connection is not enough.
+  while (!hasRoom()) {
     ConnectionRef Evicted = evictionFor(Request);
     if (!Evicted || Dialing >= Limits.Connections)
       return;
--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -118,3 +118,20 @@
     Connection->Usable = false;
   CHECK(F.Pool->available({}));
 }
+
+// Guards against a pool that stays above a limit that was lowered, because it
+// opened a connection for each one that it closed.
+TEST_CASE("a pool above its limit closes connections before it opens one") {
+  PoolFixture F;
+  F.Pool->setLimits({4, 49, 4, true});
+  for (const char *Customer : {"a", "b", "c", "d"}) {
+    F.Pool->ensureConnection({Customer, nullptr});
+    F.AnswerDial(
+        {DialOutcome::Connected, std::make_shared<StubConnection>(), {}});
+  }
+  REQUIRE(F.Pool->connections() == 4);
+  F.Pool->setLimits({2, 49, 4, true});
+  F.Pool->ensureConnection({"e", nullptr});
+  CHECK(F.Dials == 5);
+  CHECK(F.Pool->connections() == 1);
+}
