A former limit holder keeps no full bucket

Cause: a bucket that a proxy held no more kept the rate and capacity of the holder. When the proxy became the holder again, the bucket was full, although the other holder had granted the same tokens meanwhile. Change: a changed list of proxies applies the share that belongs to the new rank to all buckets at once.

--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -51,6 +51,11 @@
   Domains.clear();
   for (const auto &Entry : Registered)
     Domains.insert(Entry.second.FailureDomain);
+  // A bucket that this proxy holds no more must not fill at the rate of its
+  // holder: it would be full when the proxy becomes the holder again.
+  for (const auto &Entry : Buckets)
+    if (const OperationLimit *Limit = limitOf(Entry.first))
+      bucketOf(Entry.first, *Limit);
 }
 
 const OperationLimit *
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -97,6 +97,20 @@
     });
   }
 
+  /// Changes the list of proxies: those of \p Ids are not registered.
+  void setUnregistered(std::set<ProxyId> Ids) {
+    Unregistered = std::move(Ids);
+    for (auto &P : Proxies)
+      P->Limits->setPeers(registered());
+  }
+  /// The proxies of a failure domain that may hold the bucket, in order.
+  std::vector<ProxyId> holders(const std::string &Domain) const {
+    std::vector<LiveProxy> Live;
+    for (const auto &P : Proxies)
+      Live.push_back({P->Id, P->Domain, false, 100});
+    return rankedOwners(makeOwnerTable(Live), Domain, "limit/customer");
+  }
+
   LimitedProxy &any() { return *Proxies[Random() % Proxies.size()]; }
   double draw() { return std::uniform_real_distribution<double>(0, 1)(Random); }
 
@@ -149,7 +163,8 @@
   std::vector<PeerInfo> registered() const {
     std::vector<PeerInfo> Peers;
     for (const auto &P : Proxies)
-      Peers.push_back({P->Id, "to-" + P->Id, P->Domain, 100});
+      if (Unregistered.count(P->Id) == 0)
+        Peers.push_back({P->Id, "to-" + P->Id, P->Domain, 100});
     return Peers;
   }
 
@@ -173,6 +188,7 @@
   std::mt19937_64 Random;
   std::multimap<Instant, std::function<void()>> Events;
   std::map<ProxyId, unsigned> Incarnations;
+  std::set<ProxyId> Unregistered;
   double CurrentRate = Rate;
   std::uint64_t Version = 1;
 };
@@ -262,6 +278,33 @@
   }
 }
 
+// Guards against tokens that are made twice: a proxy that became the holder
+// again used the bucket that it had held before, filled meanwhile, although
+// another holder had granted the same tokens.
+TEST_CASE("a proxy that becomes the holder again begins with few tokens") {
+  LimitedFleet F(3, 5);
+  std::set<ProxyId> First;
+  for (const char *Domain : {"a", "b", "c"})
+    First.insert(F.holders(Domain).front());
+  F.run(Rate, 2s);
+  F.setUnregistered(First);
+  F.advance(10s);
+  auto Burst = [&F](unsigned Count) {
+    for (unsigned I = 0; I < Count; ++I)
+      F.begin(F.any());
+    F.advance(200ms);
+  };
+  F.Admitted.clear();
+  Burst(200);
+  std::size_t Before = F.Admitted.size();
+  REQUIRE(Before > 50);
+  F.setUnregistered({});
+  Burst(200);
+  Burst(200);
+  // A tenth of the capacity, and what the rate gives meanwhile.
+  CHECK(F.Admitted.size() - Before <= 8 + 0.5 * Rate + 12);
+}
+
 // Guards against a proxy of another version that ends the process.
 TEST_CASE("messages about limits are decoded strictly") {
   LimitMessage M{LimitMessageKind::Grant, "p1", 7, "customer", 3, 250ms};
