Statements that wait or move are checked for removed keys

Cause: a key was checked when the statement arrived and once for the waiting statements of a new configuration. A statement ran with a removed key if it waited for its permission, if a server had refused it as overloaded before, or if its owner did not answer: it was then forwarded with the version of the sender's newest configuration, and run without a check. A statement that had been checked by a newer configuration than the one that its owner applied was refused. Change: Job::ConfigVersion is the version by which the key was checked; forwarded requests carry it, and Group checks each statement against newer versions before it is sent.

--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -81,9 +81,12 @@
   void tick();
 
   /// Why statements of \p Customer may not run with the key of this hash any
-  /// more, according to the configuration in force; empty if they may.
+  /// more, according to the configuration in force; empty if they may, or if
+  /// this configuration is not newer than \p CheckedBy, the version by which
+  /// the key was checked.
   std::optional<ReplyCode> keyRefusal(const CustomerId &Customer,
-                                      std::uint64_t KeyHash) const;
+                                      std::uint64_t KeyHash,
+                                      std::uint64_t CheckedBy) const;
 
 private:
   Engine(std::string FailureDomain, const RuntimeHooks &Hooks, Dialer Dial,
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -320,7 +320,6 @@
   // Statements of other proxies that run here.
   void handleClientMessage(const PeerClientRef &Client, std::string_view Bytes);
   void runForwarded(const PeerClientRef &Client, ForwardRequest Message);
-  std::optional<ReplyCode> keyRefusal(const ForwardRequest &Message) const;
   bool lacksCustomer(const ForwardRequest &Message) const;
   void sendAnswer(const PeerClientRef &Client, std::uint64_t Exchange,
                   std::uint64_t Transaction, const std::string &Service,
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -76,6 +76,8 @@
   CustomerId Customer;
   /// Hash of the key by which the caller was identified.
   std::uint64_t KeyHash = 0;
+  /// Version of the configuration by which the key was checked.
+  std::uint64_t ConfigVersion = 0;
   /// The operation that the statement begins has used a permission of the
   /// customer's limit.
   bool HoldsPermit = false;
@@ -143,6 +145,10 @@
 
 class StatementForwarder;
 
+/// Why a statement may not run with the key of its caller any more; empty if it
+/// may.
+using KeyCheck = std::function<std::optional<ReplyCode>(const Job &)>;
+
 /// The servers of one service with their pools, the primary lease and the queue
 /// of waiting statements. Not copyable: jobs and pools refer to it.
 class Group : public std::enable_shared_from_this<Group> {
@@ -159,6 +165,9 @@
   bool usesOwners() const { return OwnersNeeded; }
   /// Connections belong to customers from now on, or to nobody.
   void setPerCustomer(bool Enabled) { PerCustomer = Enabled; }
+  /// Statements that have not been sent to a server or to another proxy are
+  /// checked by \p Check before they are.
+  void setKeyCheck(KeyCheck Check) { CheckKey = std::move(Check); }
   /// True if this proxy runs statements of the service: it needs no owner, is
   /// the owner, or has run a statement within the last few seconds.
   bool inUse() const;
@@ -168,10 +177,11 @@
   void submit(JobRef J);
   /// Runs a statement here, whoever owns the service.
   void runLocally(const JobRef &J);
-  /// Refuses the waiting statements for which \p Refusal returns a reason: the
-  /// key of the caller has been removed.
-  void refuseWaiting(
-      const std::function<std::optional<ReplyCode>(const Job &)> &Refusal);
+  /// Refuses the waiting statements whose key has been removed.
+  void refuseRemovedKeys();
+  /// Refuses the statement if its key has been removed, or ends its waiting if
+  /// an earlier attempt is in progress. Returns false if it may run.
+  bool refuseRemovedKey(const JobRef &J);
   /// Gives up a statement whose caller has disconnected; Job::Done is not
   /// called any more.
   void cancel(const JobRef &J);
@@ -323,6 +333,7 @@
   Dialer Dial;
   EventWriter &Events;
   Metrics &Counters;
+  KeyCheck CheckKey;
   std::map<UpstreamId, std::shared_ptr<ServerPool>, std::less<>> Pools;
   std::map<UpstreamId, Instant, std::less<>> DrainingSince;
   StatementForwarder *Forwarder = nullptr;
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -35,8 +35,7 @@
        {"services", static_cast<std::uint64_t>(Config.Services.size())}});
   refreshGroups();
   for (const auto &Entry : Groups)
-    Entry.second->refuseWaiting(
-        [this](const Job &J) { return keyRefusal(J.Customer, J.KeyHash); });
+    Entry.second->refuseRemovedKeys();
   return true;
 }
 
@@ -76,6 +75,9 @@
       }
     Entry->setForwarder(Forwarder,
                         ownersNeeded(Slots, Service.ConnectionCap, ProxyCount));
+    Entry->setKeyCheck([this](const Job &J) {
+      return keyRefusal(J.Customer, J.KeyHash, J.ConfigVersion);
+    });
     Entry->setPerCustomer(!Config.Customers.empty());
     Entry->setServers(Members, Service.ConnectionCap, FailureDomainCount,
                       ProxyCount);
@@ -125,8 +127,10 @@
 }
 
 std::optional<ReplyCode> Engine::keyRefusal(const CustomerId &Customer,
-                                            std::uint64_t KeyHash) const {
-  if (Customer.empty() || Config.Customers.empty())
+                                            std::uint64_t KeyHash,
+                                            std::uint64_t CheckedBy) const {
+  if (CheckedBy >= Config.Version || Customer.empty() ||
+      Config.Customers.empty())
     return std::nullopt;
   auto It = Config.Customers.ByKeyHash.find(KeyHash);
   if (It == Config.Customers.ByKeyHash.end())
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -24,8 +24,7 @@
          J.Kind == JobKind::FirstInTransaction;
 }
 
-ForwardRequest makeRequest(const Job &J, std::uint64_t Exchange,
-                           std::uint64_t ConfigVersion, Instant Now) {
+ForwardRequest makeRequest(const Job &J, std::uint64_t Exchange, Instant Now) {
   ForwardRequest M;
   M.Exchange = Exchange;
   M.Kind = J.Kind;
@@ -34,7 +33,7 @@
   M.Session = J.Session;
   M.Customer = J.Customer;
   M.KeyHash = J.KeyHash;
-  M.ConfigVersion = ConfigVersion;
+  M.ConfigVersion = J.ConfigVersion;
   M.State.Variables = J.State->Variables;
   M.Prepared = J.Prepared;
   M.Route = J.Route;
@@ -171,8 +170,7 @@
 bool StatementForwarder::sendTo(const PeerConnectionRef &Connection,
                                 const JobRef &J) {
   Instant Now = SessionEngine.runtime().Now();
-  std::string Bytes = encode(detail::makeRequest(
-      *J, NextExchange, SessionEngine.config().Version, Now));
+  std::string Bytes = encode(detail::makeRequest(*J, NextExchange, Now));
   if (Bytes.size() > MaxForwardBytes)
     return false;
   J->ForwardedTo = Connection;
@@ -261,6 +259,8 @@
 void StatementForwarder::handleUnservable(const JobRef &J) {
   J->ForwardedTo.reset();
   auto G = SessionEngine.group(J->Route.Service);
+  if (G->refuseRemovedKey(J))
+    return;
   bool Revoked = G->primaryRecord().Stage == GroupStage::Revoking;
   if (!Revoked && forwardToFallback(J))
     return;
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -120,15 +120,6 @@
     Client->Stream->send(encode(CurrentServers()));
 }
 
-/// Refuses the statement if this proxy has a newer configuration than the
-/// sender and the key of the caller is not in it any more.
-std::optional<ReplyCode>
-StatementForwarder::keyRefusal(const ForwardRequest &M) const {
-  if (SessionEngine.config().Version <= M.ConfigVersion)
-    return std::nullopt;
-  return SessionEngine.keyRefusal(M.Customer, M.KeyHash);
-}
-
 /// True for a statement of a proxy whose program does not know customers. It
 /// must not run on a connection of the proxy, because the server would not be
 /// told its customer.
@@ -149,7 +140,8 @@
     Client->Stream->send(encode(Refusal));
     return;
   }
-  if (auto Code = keyRefusal(M)) {
+  if (auto Code =
+          SessionEngine.keyRefusal(M.Customer, M.KeyHash, M.ConfigVersion)) {
     if (M.Transaction != 0)
       rollBackForwarded(Client, M.Transaction);
     Refusal.Reply.Error = Code;
@@ -171,6 +163,7 @@
   J->Call = {std::move(M.Id), std::move(M.Text), {}};
   J->Customer = std::move(M.Customer);
   J->KeyHash = M.KeyHash;
+  J->ConfigVersion = M.ConfigVersion;
   J->Session = (Client->Number << detail::PeerSessionShift) | M.Session;
   J->ForwardedState = std::make_shared<SessionState>(std::move(M.State));
   J->State = J->ForwardedState.get();
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -30,6 +30,8 @@
 } // namespace detail
 
 void Group::submit(JobRef J) {
+  if (refuseRemovedKey(J))
+    return;
   bool Remote =
       J->Pinned ? J->Pinned->Owner != nullptr : OwnersNeeded && !J->LocalOnly;
   if (!Remote || !Forwarder->forward(J))
@@ -169,7 +171,7 @@
     Request.ConnectedOnly = true;
     Choice = chooseServer(Request, Loads, Now);
   }
-  if (!Choice)
+  if (!Choice || refuseRemovedKey(J))
     return false;
   auto Pool = Pools.find(Loads[*Choice].Id)->second;
   removeFromQueue(J);
--- a/packages/engine/src/grouprefuse.cpp
+++ b/packages/engine/src/grouprefuse.cpp
@@ -79,15 +79,22 @@
   return Pause;
 }
 
-void Group::refuseWaiting(
-    const std::function<std::optional<ReplyCode>(const Job &)> &Refusal) {
+bool Group::refuseRemovedKey(const JobRef &J) {
+  auto Code = CheckKey ? CheckKey(*J) : std::nullopt;
+  if (!Code)
+    return false;
+  if (J->Running != 0)
+    removeFromQueue(J); // The attempt in progress answers it.
+  else
+    refuse(J, *Code, "the key of the caller was removed");
+  return true;
+}
+
+void Group::refuseRemovedKeys() {
   std::vector<JobRef> Jobs(Waiting.begin(), Waiting.end());
-  for (const JobRef &J : Jobs) {
-    if (!J->Waiting || J->Running != 0 || J->Sent)
-      continue;
-    if (auto Code = Refusal(*J))
-      refuse(J, *Code, "the key of the caller was removed");
-  }
+  for (const JobRef &J : Jobs)
+    if (J->Waiting)
+      refuseRemovedKey(J);
 }
 
 void Group::refuse(const JobRef &J, ReplyCode Code, std::string_view Reason,
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -231,6 +231,7 @@
   J->Session = Id;
   J->Customer = Customer;
   J->KeyHash = Customer.empty() ? 0 : hashOfKey(Key);
+  J->ConfigVersion = SessionEngine.config().Version;
   J->State = &CallerState;
   J->Route = Route;
   J->ReadOnly = ReadOnly;
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -255,3 +255,86 @@
   CHECK(F.server("p").count("READ a") == 0);
   CHECK(Limiter.GivenBack == 1);
 }
+
+// Guards against a statement that runs because its key was removed while its
+// operation waited for permission.
+TEST_CASE("a key that is removed before the permission runs nothing") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  CountingLimiter Limiter(F, 5);
+  Limiter.Deferred = true;
+  F.open("latest", "kn")->submit(read("a"));
+  REQUIRE(Limiter.Pending.size() == 1);
+  setCustomers(F, {{"south", {"ks"}, {}}});
+  Limiter.Pending.front()({true, {}});
+  F.advance(100ms);
+  REQUIRE(F.Replies.size() == 1);
+  CHECK(F.last().Error == ReplyCode::NotAuthorized);
+  CHECK(F.server("p").count("READ a") == 0);
+}
+
+// Guards against a statement that is sent again after its key was removed: a
+// server had refused it as overloaded before.
+TEST_CASE("a statement is not retried with a key that was removed") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  ServerReply Busy;
+  Busy.Error = ReplyCode::Busy;
+  F.server("p").Answers["READ a"] = Busy;
+  F.open("latest", "kn")->submit(read("a"));
+  F.advance(10ms);
+  REQUIRE(F.server("p").count("READ a") != 0);
+  REQUIRE(F.Replies.empty());
+  setCustomers(F, {{"south", {"ks"}, {}}});
+  std::size_t SentBefore = F.server("p").count("READ a");
+  F.advance(200ms);
+  REQUIRE(F.Replies.size() == 1);
+  CHECK(F.last().Error == ReplyCode::NotAuthorized);
+  CHECK(F.server("p").count("READ a") == SentBefore);
+}
+
+// Guards against a statement that another proxy runs with a removed key: it was
+// sent again with the version of a configuration that it was not checked
+// against.
+TEST_CASE("a statement is not forwarded again with a key that was removed") {
+  ProxyPair P;
+  setNorthAndSouth(P.Entry);
+  setNorthAndSouth(P.Owner);
+  auto S = P.Entry.open("latest", "kn");
+  S->submit(read("a"));
+  P.advance(200ms);
+  REQUIRE(P.Entry.last().Signature == "sig");
+  P.Network.Paused = true;
+  S->submit(read("b"));
+  setCustomers(P.Entry, {{"south", {"ks"}, {}}});
+  P.Network.Queue.clear();
+  P.Network.Paused = false;
+  for (const auto &Stream : P.ClientStreams)
+    if (!Stream->Closed && Stream->Ended) {
+      Stream->Closed = true;
+      Stream->Ended();
+    }
+  P.advance(500ms);
+  REQUIRE(P.Entry.Replies.size() == 2);
+  CHECK(P.Entry.last().Error == ReplyCode::NotAuthorized);
+  CHECK(P.Owner.server("p").count("READ b") == 0);
+  CHECK(P.Entry.server("p").count("READ b") == 0);
+}
+
+// Guards against a caller that is refused because the owner has not yet read
+// the configuration with its new key.
+TEST_CASE("a waiting statement was checked against a newer configuration") {
+  ProxyPair P;
+  std::vector<CustomerConfig> Old = {{"south", {"ks"}, {}}};
+  setCustomers(P.Owner, Old, 10s);
+  setCustomers(P.Entry, Old);
+  setCustomers(P.Entry, Old);
+  setCustomers(P.Entry, {{"north", {"kn"}, {}}, {"south", {"ks"}, {}}}, 10s);
+  P.advance(1s);
+  P.Owner.server("p").Unresponsive = true;
+  P.Entry.open("latest", "kn")->submit(read("a"));
+  P.advance(20ms);
+  setCustomers(P.Owner, Old);
+  P.advance(20ms);
+  CHECK(P.Entry.Replies.empty());
+}
