A route that becomes private ends transactions without a key

Cause: statements of an open transaction and its COMMIT were checked by the route with which the transaction began, so that they ran without a key after the route had become private. Change: a session counts as public only while the route in force is public as well.

--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -61,7 +61,13 @@
 
 bool Session::authorize(const Statement &S) {
   const CustomerTable &Customers = SessionEngine.config().Customers;
-  CallerIdentity Caller = identifyCaller(Customers, Route.Public, Key);
+  // A transaction keeps the route with which it began, but needs a key once
+  // the route is not public any more.
+  auto Current = SessionEngine.config().Routes.find(Database);
+  bool Public =
+      Route.Public && (Current == SessionEngine.config().Routes.end() ||
+                       Current->second.Public);
+  CallerIdentity Caller = identifyCaller(Customers, Public, Key);
   bool InTransaction = State != TransactionState::None;
   if (!InTransaction && Caller.Authorized)
     Customer = Caller.Customer;
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -338,3 +338,29 @@
   P.advance(20ms);
   CHECK(P.Entry.Replies.empty());
 }
+
+// Guards against a transaction that goes on without a key after its route has
+// become private.
+TEST_CASE("a route that becomes private ends transactions without a key") {
+  EngineFixture F;
+  setNorthAndSouth(F);
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Routes["latest"].Public = true;
+  F.SessionEngine->applyConfig(Config);
+  auto S = F.open("latest", "unknown");
+  S->submit(Begin);
+  S->submit(write("a"));
+  F.advance(100ms);
+  REQUIRE(F.last().Signature == "sig");
+  ++Config.Version;
+  Config.Routes["latest"].Public = false;
+  F.SessionEngine->applyConfig(Config);
+  SUBCASE("by the next statement") { S->submit(write("b")); }
+  SUBCASE("by the commit") { S->submit(Commit); }
+  F.advance(100ms);
+  CHECK(F.last().Error == ReplyCode::NotAuthorized);
+  CHECK(F.server("p").count("WRITE b x") == 0);
+  CHECK(F.server("p").count("COMMIT") == 0);
+  CHECK(F.server("p").count("ROLLBACK") == 1);
+}
