Operations that reached a server keep their permission

Cause: the proxy of the caller can't see whether the owner has sent a statement to a server. It returned the permission of each forwarded operation that was refused, also of those that a server had refused, so that one token admitted several operations. A transaction whose BEGIN was refused returned it as well. Change: Job::ReachedServer, which the answers of owners carry; answers of older programs count as if a server was reached. Result: the new test in customers-test.cpp found a returned permission before and finds none now; engine-tests pass.

--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -100,6 +100,8 @@
   /// The statement did not run, because the owner can't run it; another proxy
   /// may.
   bool Unservable = false;
+  /// See Job::ReachedServer. Proxies of the previous version do not send it.
+  bool ReachedServer = true;
 };
 
 /// Gives up a statement whose caller has disconnected. There is no answer.
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -132,6 +132,9 @@
   /// The statement itself was sent to a server at least once, so it may have
   /// run.
   bool Sent = false;
+  /// A server may have received a part of the operation, here or at another
+  /// proxy. Its permission is not returned then.
+  bool ReachedServer = false;
   bool Finished = false;
   /// It is in the queue of the group.
   bool Waiting = false;
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -232,6 +232,7 @@
   }
   JobRef J = It->second;
   Connection->Pending.erase(It);
+  J->ReachedServer = J->ReachedServer || Answer.ReachedServer;
   if (Answer.Unservable) {
     Connection->AvoidUntil[J->Route.Service] =
         SessionEngine.runtime().Now() + Options.AvoidTime;
@@ -313,6 +314,7 @@
 /// does not answer either. If it ran here at once, all proxies of the failure
 /// domain would open connections to the servers together.
 void StatementForwarder::rerun(const JobRef &J) {
+  J->ReachedServer = true; // The silent owner may have run it.
   J->ForwardedTo.reset();
   J->LocalOnly = ++J->SilentOwners > detail::MaxSilentOwners;
   SessionEngine.group(J->Route.Service)->submit(J);
--- a/packages/engine/src/forwardcodec.cpp
+++ b/packages/engine/src/forwardcodec.cpp
@@ -73,7 +73,7 @@
   return json::array({encodeEnum(MessageTag::Answer), M.Exchange, R.NoAnswer,
                       std::move(Error), R.ErrorText, json(R.Rows), R.Signature,
                       encodeEnum(R.State), std::move(LogPosition),
-                      M.Transaction, M.Epoch, M.Unservable});
+                      M.Transaction, M.Epoch, M.Unservable, M.ReachedServer});
 }
 
 json encodeBody(const ForwardCancel &M) {
@@ -189,6 +189,8 @@
   M.Transaction = decodeInteger<std::uint64_t>(V.at(9));
   M.Epoch = decodeInteger<std::uint64_t>(V.at(10));
   M.Unservable = V.at(11).get<bool>();
+  if (V.size() > 12)
+    M.ReachedServer = V.at(12).get<bool>();
   return M;
 }
 
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -78,10 +78,11 @@
     if (!J->Sent && !J->Pinned && !J->ForwardedTo)
       Unsent.push_back(Exchange);
   for (std::uint64_t Exchange : Unsent) {
-    cancelForwarded(Client, Exchange);
     ForwardAnswer Answer;
     Answer.Exchange = Exchange;
     Answer.Unservable = true;
+    Answer.ReachedServer = Client->Running.at(Exchange)->ReachedServer;
+    cancelForwarded(Client, Exchange);
     Client->Stream->send(encode(Answer));
   }
 }
@@ -132,6 +133,7 @@
                                       ForwardRequest M) {
   ForwardAnswer Refusal;
   Refusal.Exchange = M.Exchange;
+  Refusal.ReachedServer = false;
   auto G = SessionEngine.group(M.Route.Service);
   auto Pinned = Client->Transactions.find(M.Transaction);
   if (M.Transaction != 0 && Pinned == Client->Transactions.end()) {
@@ -191,8 +193,11 @@
                                     std::uint64_t Transaction,
                                     const std::string &Service,
                                     JobResult Result) {
-  Client->Running.erase(Exchange);
   ForwardAnswer Answer;
+  if (auto It = Client->Running.find(Exchange); It != Client->Running.end()) {
+    Answer.ReachedServer = It->second->ReachedServer;
+    Client->Running.erase(It);
+  }
   Answer.Exchange = Exchange;
   Answer.Reply = std::move(Result.Reply);
   Answer.Epoch = Result.Epoch;
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -95,6 +95,7 @@
   for (const SetupStep &Step : Steps)
     Calls.push_back(detail::setupCall(Step));
   if (J.Kind == JobKind::FirstInTransaction) {
+    J.ReachedServer = true;
     Calls.push_back(makeCall(J.ReadOnly ? ServerCommand::BeginReadOnly
                                         : ServerCommand::Begin));
     if (J.ReadOnly)
@@ -160,6 +161,7 @@
   A->StatementSent = true;
   A->SentAt = Hooks.Now();
   J.Sent = true;
+  J.ReachedServer = true;
   A->Connection->Connection->exchange(
       {std::move(Call)}, [Self = shared_from_this(), A](auto Replies) {
         Self->handleReply(A, std::move(Replies.back()));
--- a/packages/engine/src/sessionpermit.cpp
+++ b/packages/engine/src/sessionpermit.cpp
@@ -55,7 +55,7 @@
 void Session::giveBackPermit(const Job &J, const ServerReply &Reply) {
   bool DidNotRun = Reply.Error && detail::keepsNothing(*Reply.Error) &&
                    *Reply.Error != ReplyCode::Aborted;
-  if (J.HoldsPermit && DidNotRun && !J.Sent)
+  if (J.HoldsPermit && DidNotRun && !J.ReachedServer)
     SessionEngine.limiter().GiveBack(J.Customer);
 }
 
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -364,3 +364,20 @@
   CHECK(F.server("p").count("COMMIT") == 0);
   CHECK(F.server("p").count("ROLLBACK") == 1);
 }
+
+// Guards against operations beyond the limit: a permission was returned
+// although a server had received the operation through the owner.
+TEST_CASE("an operation that reached a server keeps its permission") {
+  ProxyPair P;
+  setNorthAndSouth(P.Entry);
+  setNorthAndSouth(P.Owner);
+  CountingLimiter Limiter(P.Entry, 5);
+  ServerReply Busy;
+  Busy.Error = ReplyCode::Busy;
+  P.Owner.server("p").Answers["READ a"] = Busy;
+  P.Entry.open("latest", "kn")->submit(read("a"));
+  P.advance(3s);
+  REQUIRE(P.Owner.server("p").count("READ a") != 0);
+  REQUIRE(P.Entry.last().Error == ReplyCode::Busy);
+  CHECK(Limiter.GivenBack == 0);
+}
