--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -100,6 +100,8 @@
   /// The statement did not run, because the owner can't run it; another proxy
   /// may.
   bool Unservable = false;
+  /// See Job::ReachedServer. Proxies of the previous version do not send it.
+  bool ReachedServer = true;
 };
 
 /// Gives up a statement whose caller has disconnected. There is no answer.
@@ -320,7 +322,6 @@
   // Statements of other proxies that run here.
   void handleClientMessage(const PeerClientRef &Client, std::string_view Bytes);
   void runForwarded(const PeerClientRef &Client, ForwardRequest Message);
-  std::optional<ReplyCode> keyRefusal(const ForwardRequest &Message) const;
   bool lacksCustomer(const ForwardRequest &Message) const;
   void sendAnswer(const PeerClientRef &Client, std::uint64_t Exchange,
                   std::uint64_t Transaction, const std::string &Service,
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -78,10 +78,11 @@
     if (!J->Sent && !J->Pinned && !J->ForwardedTo)
       Unsent.push_back(Exchange);
   for (std::uint64_t Exchange : Unsent) {
-    cancelForwarded(Client, Exchange);
     ForwardAnswer Answer;
     Answer.Exchange = Exchange;
     Answer.Unservable = true;
+    Answer.ReachedServer = Client->Running.at(Exchange)->ReachedServer;
+    cancelForwarded(Client, Exchange);
     Client->Stream->send(encode(Answer));
   }
 }
@@ -120,15 +121,6 @@
     Client->Stream->send(encode(CurrentServers()));
 }
 
-/// Refuses the statement if this proxy has a newer configuration than the
-/// sender and the key of the caller is not in it any more.
-std::optional<ReplyCode>
-StatementForwarder::keyRefusal(const ForwardRequest &M) const {
-  if (SessionEngine.config().Version <= M.ConfigVersion)
-    return std::nullopt;
-  return SessionEngine.keyRefusal(M.Customer, M.KeyHash);
-}
-
 /// True for a statement of a proxy whose program does not know customers. It
 /// must not run on a connection of the proxy, because the server would not be
 /// told its customer.
@@ -141,6 +133,7 @@
                                       ForwardRequest M) {
   ForwardAnswer Refusal;
   Refusal.Exchange = M.Exchange;
+  Refusal.ReachedServer = false;
   auto G = SessionEngine.group(M.Route.Service);
   auto Pinned = Client->Transactions.find(M.Transaction);
   if (M.Transaction != 0 && Pinned == Client->Transactions.end()) {
@@ -149,7 +142,8 @@
     Client->Stream->send(encode(Refusal));
     return;
   }
-  if (auto Code = keyRefusal(M)) {
+  if (auto Code =
+          SessionEngine.keyRefusal(M.Customer, M.KeyHash, M.ConfigVersion)) {
     if (M.Transaction != 0)
       rollBackForwarded(Client, M.Transaction);
     Refusal.Reply.Error = Code;
@@ -171,6 +165,7 @@
   J->Call = {std::move(M.Id), std::move(M.Text), {}};
   J->Customer = std::move(M.Customer);
   J->KeyHash = M.KeyHash;
+  J->ConfigVersion = M.ConfigVersion;
   J->Session = (Client->Number << detail::PeerSessionShift) | M.Session;
   J->ForwardedState = std::make_shared<SessionState>(std::move(M.State));
   J->State = J->ForwardedState.get();
@@ -198,8 +193,11 @@
                                     std::uint64_t Transaction,
                                     const std::string &Service,
                                     JobResult Result) {
-  Client->Running.erase(Exchange);
   ForwardAnswer Answer;
+  if (auto It = Client->Running.find(Exchange); It != Client->Running.end()) {
+    Answer.ReachedServer = It->second->ReachedServer;
+    Client->Running.erase(It);
+  }
   Answer.Exchange = Exchange;
   Answer.Reply = std::move(Result.Reply);
   Answer.Epoch = Result.Epoch;
