Order waiting statements by the customer's share of server time

Cause: one customer at several times its usual load filled the queue of a service, and the others of its priority waited behind it by due time.

--- a/packages/kernel/include/kernel/placement.h
+++ b/packages/kernel/include/kernel/placement.h
@@ -132,6 +132,9 @@
   /// The priority is overloaded, so the newest statement, which is the most
   /// likely to meet its objective, runs first.
   bool NewestFirst = false;
+  /// The customer has used more than its share of the servers; the statement
+  /// waits behind the others of its priority and lateness.
+  bool AboveShare = false;
 };
 
 /// True if \p A runs before \p B.
@@ -146,13 +149,16 @@
   Duration LatencyObjective{0};
   /// Expected time from the start of an attempt to its answer.
   Duration ExpectedRun{0};
+  /// See customersAboveShare(); false without customers.
+  bool AboveShare = false;
 };
 
 /// Indices of the statements in the order in which they run. If the load of a
 /// priority exceeds the capacity of a server for seconds, order by due time
 /// would start every statement when it is almost too late, and most answers
 /// would miss their objective. A priority whose statements have waited long is
-/// therefore served newest first.
+/// therefore served newest first. Statements of customers above their share are
+/// judged apart, because a backlog of theirs does not delay the others.
 std::vector<std::size_t> waitOrder(const std::vector<WaitingStatement> &Waiting,
                                    Instant Now);
 
--- a/packages/kernel/src/placement.cpp
+++ b/packages/kernel/src/placement.cpp
@@ -113,20 +113,23 @@
 
 std::vector<std::size_t> waitOrder(const std::vector<WaitingStatement> &Waiting,
                                    Instant Now) {
-  std::array<bool, PriorityCount> Overloaded{};
+  // By AboveShare and priority.
+  std::array<std::array<bool, PriorityCount>, 2> Overloaded{};
   std::vector<WaitKey> Keys;
   Keys.reserve(Waiting.size());
   for (const WaitingStatement &W : Waiting) {
     Instant Due = W.FirstTry + W.LatencyObjective;
     bool Late = Now + W.ExpectedRun >= Due;
-    Keys.push_back({Late, W.WorkPriority, Due});
+    Keys.push_back({Late, W.WorkPriority, Due, false, W.AboveShare});
     auto LongWait = std::chrono::duration_cast<Duration>(W.LatencyObjective *
                                                          detail::OverloadShare);
     if (!Late && Now - W.FirstTry >= LongWait)
-      Overloaded[static_cast<std::size_t>(W.WorkPriority)] = true;
+      Overloaded[W.AboveShare ? 1 : 0]
+                [static_cast<std::size_t>(W.WorkPriority)] = true;
   }
   for (WaitKey &Key : Keys)
-    Key.NewestFirst = Overloaded[static_cast<std::size_t>(Key.WorkPriority)];
+    Key.NewestFirst = Overloaded[Key.AboveShare ? 1 : 0]
+                                [static_cast<std::size_t>(Key.WorkPriority)];
   std::vector<std::size_t> Order(Waiting.size());
   std::iota(Order.begin(), Order.end(), std::size_t{0});
   std::stable_sort(
@@ -140,6 +143,8 @@
     return A.WorkPriority < B.WorkPriority;
   if (A.Late != B.Late)
     return B.Late;
+  if (A.AboveShare != B.AboveShare)
+    return B.AboveShare;
   return A.NewestFirst ? B.Due < A.Due : A.Due < B.Due;
 }
 
