Groups count server time by customer and order their queue by it

Cause: the queue of a group had no notion of what each customer has used. Change: the time of an attempt is counted for its customer when the attempt ends, and waitingInOrder passes on who is above its share; nothing is counted where connections belong to nobody. Result: engine-tests pass; the new test of the order runs on a group with one slot.

--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -10,6 +10,7 @@
 #include "engine/metrics.h"
 #include "engine/pool.h"
 #include "kernel/estimate.h"
+#include "kernel/fairshare.h"
 #include "kernel/primary.h"
 #include "kernel/promotion.h"
 #include "kernel/retry.h"
@@ -158,7 +159,11 @@
   void setForwarder(StatementForwarder *NewForwarder, bool Needed);
   bool usesOwners() const { return OwnersNeeded; }
   /// Connections belong to customers from now on, or to nobody.
-  void setPerCustomer(bool Enabled) { PerCustomer = Enabled; }
+  void setPerCustomer(bool Enabled) {
+    PerCustomer = Enabled;
+    if (!Enabled)
+      ServerTime = {};
+  }
   /// True if this proxy runs statements of the service: it needs no owner, is
   /// the owner, or has run a statement within the last few seconds.
   bool inUse() const;
@@ -276,6 +281,8 @@
   void handleReply(const AttemptRef &A, ServerReply Reply);
   void recordPosition(const Attempt &A, const ServerReply &Reply);
   void endAttempt(const AttemptRef &A, bool Reuse);
+  /// Counts the server time of an attempt that ends for its customer.
+  void countServerTime(const Attempt &A);
   void retryOrFail(const AttemptRef &A, const ServerReply &Reply,
                    bool MayHaveRun);
   void finish(const JobRef &J, JobResult Result);
@@ -357,6 +364,8 @@
   std::list<JobRef> Waiting;
   std::array<unsigned, PriorityCount> WaitingByPriority{};
   WaitingByCustomer WaitingCustomers;
+  /// Server time of the attempts here; empty if connections belong to nobody.
+  ServerTimeUse ServerTime;
   /// Each connection belongs to a customer.
   bool PerCustomer = false;
   /// Since when this proxy owns the service; empty if it does not.
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -206,6 +206,7 @@
     --J.Running;
     A->Ended = true;
     Attempts.remove(A);
+    countServerTime(*A);
   } else {
     endAttempt(A, Clean);
   }
@@ -249,9 +250,16 @@
   retryOrFail(A, Reply, Ran);
 }
 
+void Group::countServerTime(const Attempt &A) {
+  Instant Now = Hooks.Now();
+  if (PerCustomer)
+    recordServerTime(ServerTime, A.J->Customer, Now - A.StartedAt, Now);
+}
+
 void Group::endAttempt(const AttemptRef &A, bool Reuse) {
   A->Ended = true;
   Attempts.remove(A);
+  countServerTime(*A);
   --A->Pool->InFlight;
   --A->J->Running;
   if (A->MayCommit)
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -194,11 +194,14 @@
   std::vector<JobRef> Jobs(Waiting.begin(), Waiting.end());
   std::vector<WaitingStatement> Statements;
   Statements.reserve(Jobs.size());
+  CustomerSet AboveShare;
+  if (PerCustomer)
+    AboveShare = customersAboveShare(ServerTime, WaitingCustomers, Now);
   for (const JobRef &J : Jobs) {
     auto P = static_cast<std::size_t>(J->Route.WorkPriority);
     Statements.push_back({J->Route.WorkPriority, J->FirstTry,
-                          J->Route.LatencyObjective,
-                          upperEstimate(RunTimes[P])});
+                          J->Route.LatencyObjective, upperEstimate(RunTimes[P]),
+                          AboveShare.count(J->Customer) != 0});
   }
   std::vector<JobRef> Ordered;
   Ordered.reserve(Jobs.size());
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -255,3 +255,31 @@
   CHECK(F.server("p").count("READ a") == 0);
   CHECK(Limiter.GivenBack == 1);
 }
+
+// Load: one customer that fills the queue. Guards against another that waits
+// behind it, and against server time that is not counted.
+TEST_CASE("a customer that has used more server time waits behind another") {
+  EngineFixture F;
+  ServerEntry Only = F.server("p").Entry;
+  Only.Slots = 1;
+  F.SessionEngine->setServers({Only}, 1);
+  setNorthAndSouth(F);
+  F.open("latest", "kn")->submit(read("warm"));
+  F.advance(100ms);
+  F.open("latest", "ks")->submit(read("warm"));
+  F.advance(100ms);
+  REQUIRE(F.Replies.size() == 2);
+  F.open("latest", "kn")->submit(read("n0"));
+  F.open("latest", "kn")->submit(read("n1"));
+  F.open("latest", "kn")->submit(read("n2"));
+  F.Now += 10ms;
+  F.open("latest", "ks")->submit(read("s1"));
+  F.Now += 20ms;
+  F.server("p").Received.clear();
+  F.run();
+  std::vector<std::string> Order;
+  for (const ServerCall &Call : F.server("p").Received)
+    if (Call.Command == ServerCommand::Statement)
+      Order.push_back(Call.Id);
+  CHECK(Order == std::vector<std::string>{"s1", "n1", "n2"});
+}
