Choose the transactions at rest that end for other customers

Cause: callers that stay idle inside transactions hold all connections that a proxy may open to a server, until the idle timeout of 3 s. Change: chooseTransactionsToEnd picks one transaction for each blocked customer, of the customer with the most that have rested for over 1 s; serversLackingConnection tells whether a statement waits only for a connection. Result: kernel-tests pass, with new tests of both functions.

--- a/packages/kernel/include/kernel/connectioncache.h
+++ b/packages/kernel/include/kernel/connectioncache.h
@@ -8,6 +8,7 @@
 #define EELGRASSLOOM_KERNEL_CONNECTIONCACHE_H
 
 #include "kernel/customers.h"
+#include "kernel/model.h"
 #include "kernel/time.h"
 #include <cstddef>
 
@@ -65,6 +66,41 @@
 /// proxies that run statements in place of the owner.
 unsigned connectionReserve(unsigned Cap);
 
+/// An open transaction without a statement in progress. It holds a connection.
+struct RestingTransaction {
+  CustomerId Customer;
+  UpstreamId Server;
+  Instant LastUsed;
+};
+
+/// A customer with a statement that waits only for a connection: all those that
+/// the proxy may open to the servers that could run it are in use.
+struct BlockedCustomer {
+  CustomerId Customer;
+  std::vector<UpstreamId> Servers;
+};
+
+/// A transaction that has rested for longer may be ended for another customer.
+inline constexpr Duration MaxProtectedRest = std::chrono::seconds(1);
+
+/// A transaction to end, by its index, and the customer that gets its place.
+struct TransactionToEnd {
+  std::size_t Index = 0;
+  CustomerId For;
+
+  bool operator==(const TransactionToEnd &) const = default;
+};
+
+/// The transactions to end, at most one for each of \p Blocked, at
+/// one of its servers and of another customer. The customer with the most
+/// transactions that have rested too long comes first, then the one that was
+/// used longest ago. Load pattern: up to 120 callers that stay idle inside
+/// transactions for several seconds and hold all connections of a service.
+std::vector<TransactionToEnd>
+chooseTransactionsToEnd(const std::vector<RestingTransaction> &Resting,
+                        const std::vector<BlockedCustomer> &Blocked,
+                        Instant Now);
+
 /// Order in which a customer prefers the servers of a service: the lower, the
 /// earlier. Each customer keeps to few servers, so that it needs few
 /// connections.
--- a/packages/kernel/include/kernel/placement.h
+++ b/packages/kernel/include/kernel/placement.h
@@ -28,6 +28,9 @@
   bool Available = false;
   /// A connection to it is idle.
   bool Connected = false;
+  /// All connections that the proxy may open are in use, and none is being
+  /// opened for the customer; otherwise the server accepts new work.
+  bool Exhausted = false;
   /// Recent requests failed; the server is used only if there is no other.
   bool Suspected = false;
   /// New connections have failed for longer than the tolerance.
@@ -70,6 +73,12 @@
 /// processor time left to answer its peers.
 bool anyFree(const std::vector<ServerLoad> &Servers, Priority P);
 
+/// The servers that could start the statement now if a connection to them was
+/// free. Empty if the statement waits for something else.
+std::vector<UpstreamId>
+serversLackingConnection(const PlacementRequest &Request,
+                         const std::vector<ServerLoad> &Servers, Instant Now);
+
 /// Maximum number of statements that run at once on a server when a statement
 /// of priority \p P is started. Urgent work may exceed \p Limit by one, so that
 /// it does not wait for other work.
--- a/packages/kernel/src/connectioncache.cpp
+++ b/packages/kernel/src/connectioncache.cpp
@@ -30,6 +30,14 @@
   return false;
 }
 
+/// True if the transaction may be ended for the blocked customer.
+bool mayEndFor(const RestingTransaction &T, const BlockedCustomer &B,
+               Instant Now) {
+  return T.Customer != B.Customer && Now - T.LastUsed > MaxProtectedRest &&
+         std::find(B.Servers.begin(), B.Servers.end(), T.Server) !=
+             B.Servers.end();
+}
+
 } // namespace detail
 
 void recordUse(CustomerUse &Use, const CustomerId &Customer, Instant Now) {
@@ -68,6 +76,36 @@
   return Best;
 }
 
+std::vector<TransactionToEnd>
+chooseTransactionsToEnd(const std::vector<RestingTransaction> &Resting,
+                        const std::vector<BlockedCustomer> &Blocked,
+                        Instant Now) {
+  std::vector<TransactionToEnd> Chosen;
+  std::vector<bool> Taken(Resting.size());
+  for (const BlockedCustomer &B : Blocked) {
+    std::vector<std::size_t> Candidates;
+    std::map<std::string_view, unsigned> Held;
+    for (std::size_t I = 0; I < Resting.size(); ++I)
+      if (!Taken[I] && detail::mayEndFor(Resting[I], B, Now)) {
+        Candidates.push_back(I);
+        ++Held[Resting[I].Customer];
+      }
+    auto First = std::min_element(
+        Candidates.begin(), Candidates.end(),
+        [&](std::size_t L, std::size_t R) {
+          const RestingTransaction &A = Resting[L];
+          const RestingTransaction &C = Resting[R];
+          return std::make_tuple(Held[C.Customer], A.LastUsed) <
+                 std::make_tuple(Held[A.Customer], C.LastUsed);
+        });
+    if (First == Candidates.end())
+      continue;
+    Taken[*First] = true;
+    Chosen.push_back({*First, B.Customer});
+  }
+  return Chosen;
+}
+
 unsigned connectionReserve(unsigned Cap) {
   return static_cast<unsigned>(std::ceil(Cap * detail::ReserveShare));
 }
--- a/packages/kernel/src/placement.cpp
+++ b/packages/kernel/src/placement.cpp
@@ -35,16 +35,20 @@
   return Server.Available && Server.InFlight < limitFor(Server.Limit, P);
 }
 
+/// True if the server may run the statement, as far as its role and its
+/// position tell.
+bool qualifies(const PlacementRequest &Request, const ServerLoad &Server,
+               Instant Now) {
+  return Server.Primary || (!Request.PrimaryOnly && Request.Required &&
+                            mayContain(Server, *Request.Required, Now));
+}
+
 /// True if the statement may start on the server now.
 bool usable(const PlacementRequest &Request, const ServerLoad &Server,
             Instant Now) {
-  if (!hasRoom(Server, Request.WorkPriority) ||
-      (Request.ConnectedOnly && !Server.Connected))
-    return false;
-  if (Server.Primary)
-    return true;
-  return !Request.PrimaryOnly && Request.Required &&
-         mayContain(Server, *Request.Required, Now);
+  return hasRoom(Server, Request.WorkPriority) &&
+         (!Request.ConnectedOnly || Server.Connected) &&
+         qualifies(Request, Server, Now);
 }
 
 /// Lower is better. A replica is preferred to the primary, so that the primary
@@ -66,6 +70,22 @@
       [P](const ServerLoad &Server) { return detail::hasRoom(Server, P); });
 }
 
+std::vector<UpstreamId>
+serversLackingConnection(const PlacementRequest &Request,
+                         const std::vector<ServerLoad> &Servers, Instant Now) {
+  std::vector<UpstreamId> Lacking;
+  for (const ServerLoad &Server : Servers) {
+    if (Server.Unreachable || !detail::qualifies(Request, Server, Now) ||
+        Server.InFlight >= limitFor(Server.Limit, Request.WorkPriority))
+      continue;
+    if (Server.Available)
+      return {};
+    if (Server.Exhausted)
+      Lacking.push_back(Server.Id);
+  }
+  return Lacking;
+}
+
 unsigned limitFor(unsigned Limit, Priority P) {
   return P == Priority::Urgent ? Limit + 1 : Limit;
 }
--- a/packages/kernel/test/connectioncache-test.cpp
+++ b/packages/kernel/test/connectioncache-test.cpp
@@ -121,3 +121,35 @@
   }
   CHECK(First.size() == 2);
 }
+
+// Guards against a small customer that pays for the idle callers of a large
+// one.
+TEST_CASE("the customer with the most resting transactions gives one up") {
+  std::vector<RestingTransaction> Resting = {{"small", "p", Start - 9s},
+                                             {"large", "p", Start - 2s},
+                                             {"large", "p", Start - 3s},
+                                             {"large", "p", Start - 1500ms}};
+  using Chosen = std::vector<TransactionToEnd>;
+  CHECK(chooseTransactionsToEnd(Resting, {{"a", {"p"}}}, Start) ==
+        Chosen{{2, "a"}});
+  CHECK(chooseTransactionsToEnd(Resting, {{"a", {"p"}}, {"b", {"p"}}}, Start) ==
+        Chosen{{2, "a"}, {1, "b"}});
+  // Both hold one then, and the oldest is ended.
+  CHECK(chooseTransactionsToEnd(Resting,
+                                {{"a", {"p"}}, {"b", {"p"}}, {"c", {"p"}}},
+                                Start) == Chosen{{2, "a"}, {1, "b"}, {0, "c"}});
+  CHECK(chooseTransactionsToEnd(Resting, {}, Start).empty());
+}
+
+// Guards against transactions that are ended although they rest for a moment
+// only, or without use for the statement that waits.
+TEST_CASE("transactions that rest briefly or elsewhere are kept") {
+  std::vector<RestingTransaction> Resting = {{"own", "p", Start - 2s},
+                                             {"brief", "p", Start - 1s},
+                                             {"other", "r", Start - 2s}};
+  CHECK(chooseTransactionsToEnd(Resting, {{"own", {"p"}}}, Start).empty());
+  CHECK(chooseTransactionsToEnd(Resting, {{"own", {"p"}}}, Start + 1ms) ==
+        std::vector<TransactionToEnd>{{1, "own"}});
+  CHECK(chooseTransactionsToEnd(Resting, {{"own", {"p", "r"}}}, Start) ==
+        std::vector<TransactionToEnd>{{2, "own"}});
+}
--- a/packages/kernel/test/placement-test.cpp
+++ b/packages/kernel/test/placement-test.cpp
@@ -196,3 +196,37 @@
   CHECK_FALSE(successorExpected({false, FirstLeaseTime}, 750ms));
   CHECK_FALSE(successorExpected({false, std::nullopt}, 750ms));
 }
+
+// Guards against transactions that are ended for a statement that waits for
+// something else than a connection.
+TEST_CASE("a statement lacks a connection where all are in use") {
+  std::vector<ServerLoad> Servers = {server("p", true), server("r", false)};
+  for (ServerLoad &Server : Servers) {
+    Server.Available = false;
+    Server.Connected = false;
+    Server.Exhausted = true;
+  }
+  PlacementRequest Request;
+  Request.PrimaryOnly = true;
+  using Ids = std::vector<UpstreamId>;
+  CHECK(serversLackingConnection(Request, Servers, Instant(1s)) == Ids{"p"});
+  Request.PrimaryOnly = false;
+  Request.Required = Position{1, 10};
+  CHECK(serversLackingConnection(Request, Servers, Instant(1s)) ==
+        Ids{"p", "r"});
+  SUBCASE("not if another server can run it") {
+    Servers[1].Available = true;
+    Servers[1].Exhausted = false;
+    CHECK(serversLackingConnection(Request, Servers, Instant(1s)).empty());
+  }
+  SUBCASE("not at a server without a free slot or out of reach") {
+    Servers[0].InFlight = 1;
+    Servers[1].Unreachable = true;
+    CHECK(serversLackingConnection(Request, Servers, Instant(1s)).empty());
+  }
+  SUBCASE("not at a replica that lags") {
+    Request.Required = Position{1, 11};
+    Servers[1].AppliedAt = Instant(1s);
+    CHECK(serversLackingConnection(Request, Servers, Instant(1s)) == Ids{"p"});
+  }
+}
