End transactions at rest when other customers need their connection

Cause: statements of other customers waited until they were refused while idle transactions held every connection. Change: each tick, the proxy that holds the connections closes the chosen ones, of its sessions and of other proxies, and opens one for the customer that waits; the next statement of such a transaction is answered ABORTED. Transactions of other proxies keep their service and last use in one struct.

--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -91,6 +91,9 @@
       : FailureDomain(std::move(FailureDomain)), Hooks(Hooks),
         Dial(std::move(Dial)), Events(Events), Counters(Counters) {}
 
+  /// Ends transactions that rest while statements of other customers wait for
+  /// their connections.
+  void endRestingTransactions();
   /// Creates the groups of new services and passes servers to all groups.
   void refreshGroups();
 
--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -209,6 +209,12 @@
   Duration AnswerSlack = std::chrono::milliseconds(200);
 };
 
+/// A transaction without a statement in progress, and how to end it.
+struct EndableTransaction {
+  RestingTransaction Resting;
+  std::function<void(const CustomerId &For)> End;
+};
+
 /// Both sides of forwarding: sends statements of this proxy to other proxies
 /// and runs statements of other proxies. Not copyable: connections refer to it.
 class StatementForwarder {
@@ -257,6 +263,9 @@
   void applyStop(StopPhase Phase);
   /// True if statements or transactions of other proxies are in progress here.
   bool servesPeers() const;
+  /// The transactions of other proxies that this one holds at servers of the
+  /// service and that have no statement in progress.
+  std::vector<EndableTransaction> restingTransactions(std::string_view Service);
   /// True if no statement of this proxy is in progress at another one.
   bool nothingPending() const;
 
@@ -265,6 +274,13 @@
   void tick();
 
 private:
+  /// An open transaction of another proxy.
+  struct HeldTransaction {
+    PinnedConnection Pinned;
+    std::string Service;
+    /// Time of the last answer.
+    Instant LastUsed;
+  };
   /// A connected proxy and what this proxy runs for it.
   struct PeerClient {
     std::uint64_t Number = 0;
@@ -273,9 +289,7 @@
     /// PeerStream::receivedBytes() when it was last checked.
     std::uint64_t ReceivedBytes = 0;
     std::map<std::uint64_t, JobRef> Running;
-    std::map<std::uint64_t, PinnedConnection> Transactions;
-    /// Service of each transaction.
-    std::map<std::uint64_t, std::string> Services;
+    std::map<std::uint64_t, HeldTransaction> Transactions;
   };
   using PeerConnectionRef = std::shared_ptr<PeerConnection>;
   using PeerClientRef = std::shared_ptr<PeerClient>;
@@ -329,6 +343,11 @@
   void rollBackForwarded(const PeerClientRef &Client,
                          std::uint64_t Transaction);
   void dropClient(const PeerClientRef &Client);
+  /// Numbers of the transactions of a proxy that have no statement in progress.
+  static std::vector<std::uint64_t> unused(const PeerClient &Client);
+  /// Ends a transaction and gives its place to the customer \p For.
+  void endResting(const PeerClientRef &Client, std::uint64_t Transaction,
+                  const CustomerId &For);
   /// Rolls back the transactions of a proxy that have no statement in progress.
   void endTransactions(const PeerClientRef &Client);
   /// Returns the statements that were not sent to a server yet, so that other
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -185,6 +185,9 @@
   /// Returns the connection of a transaction that has ended to its pool;
   /// \p Reuse as for ServerPool::release().
   void unpin(const PinnedConnection &Pinned, bool Reuse);
+  /// Closes the connection of an open transaction, which rolls it back, and
+  /// starts to open one for the customer \p To in its place.
+  void handOver(const PinnedConnection &Pinned, const CustomerId &To);
 
   /// Replaces the servers of the service. \p Cap: connections that one server
   /// accepts from all proxies. \p Domains: failure domains with a proxy.
@@ -226,6 +229,10 @@
   /// No statement or attempt is in progress here.
   bool idle() const { return Active.empty() && Attempts.empty(); }
 
+  /// The customers whose statements wait only for a connection; see
+  /// chooseTransactionsToEnd().
+  std::vector<BlockedCustomer> blockedCustomers() const;
+
   /// Handles timeouts of statements and starts waiting ones; called every
   /// TickInterval while not idle().
   void tick();
--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -133,6 +133,13 @@
   /// A connection of the customer is idle, is being opened or may be opened
   /// now.
   bool available(const CustomerId &Customer) const;
+  /// Connections belong to customers, none is idle, and no further one may be
+  /// opened.
+  bool exhausted() const;
+  /// A connection is being opened for the customer.
+  bool opensFor(const CustomerId &Customer) const {
+    return DialingFor.count(Customer) != 0;
+  }
   /// Dials have failed for longer than PoolOptions::UnreachableAfter, or
   /// PoolOptions::MinRefusals of them failed otherwise than by a timeout.
   bool unreachable() const;
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -17,6 +17,8 @@
 namespace detail {
 /// Reason of refusals and rollbacks because of an orderly stop.
 inline constexpr std::string_view StoppingReason = "the proxy stops";
+/// Reason of the end of a transaction whose connection another customer needs.
+inline constexpr std::string_view ConnectionNeededReason = "connection needed";
 /// True for statements that a server runs.
 bool isDataStatement(StatementKind K);
 /// True for answers after which callers send the whole operation again.
@@ -103,6 +105,13 @@
   /// caller learns of it with the answer to its next statement. \p Reason is
   /// logged.
   void endTransaction(std::string_view Reason);
+  /// The open transaction, if it has no statement in progress and this proxy
+  /// holds its connection to a server of \p Service.
+  std::optional<RestingTransaction>
+  restingTransaction(std::string_view Service) const;
+  /// Ends such a transaction and gives its place to the customer \p For. The
+  /// caller learns of it as in endTransaction().
+  void endRestingTransaction(const CustomerId &For);
 
 private:
   Session(Engine &SessionEngine, SessionId Id, SessionRequest Request,
@@ -142,6 +151,12 @@
   void answerOk();
   void answerError(ReplyCode Code, std::string Text);
   void dropTransaction();
+  /// True if a transaction is open that has no statement in progress.
+  bool rests() const {
+    return State == TransactionState::Open && !Current && !EndedByProxy;
+  }
+  /// Logs the end of the transaction by the proxy and returns its connection.
+  std::optional<PinnedConnection> takeTransaction(std::string_view Reason);
   bool resolveRoute();
   void refuseDatabase(const Statement &S);
   /// True if the stopping proxy begins no operation with such a statement.
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -168,12 +168,36 @@
   Counters.setEvictionCount(Evictions);
 }
 
+void Engine::endRestingTransactions() {
+  for (const auto &[Service, G] : Groups) {
+    std::vector<BlockedCustomer> Blocked = G->blockedCustomers();
+    if (Blocked.empty())
+      continue;
+    std::vector<EndableTransaction> Endable;
+    if (Forwarder != nullptr)
+      Endable = Forwarder->restingTransactions(Service);
+    for (const auto &Entry : Sessions)
+      if (auto Resting = Entry.second->restingTransaction(Service))
+        Endable.push_back({*Resting, [S = Entry.second](const CustomerId &For) {
+                             S->endRestingTransaction(For);
+                           }});
+    std::vector<RestingTransaction> Resting;
+    Resting.reserve(Endable.size());
+    for (const EndableTransaction &T : Endable)
+      Resting.push_back(T.Resting);
+    for (const TransactionToEnd &T :
+         chooseTransactionsToEnd(Resting, Blocked, Hooks.Now()))
+      Endable[T.Index].End(T.For);
+  }
+}
+
 void Engine::tick() {
   for (const auto &Entry : Groups)
     if (!Entry.second->idle())
       Entry.second->tick();
   if (Forwarder != nullptr)
     Forwarder->tick();
+  endRestingTransactions();
   Instant Now = Hooks.Now();
   if (Now < NextMaintenance)
     return;
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -59,19 +59,58 @@
   }
 }
 
-void StatementForwarder::endTransactions(const PeerClientRef &Client) {
+std::vector<std::uint64_t>
+StatementForwarder::unused(const PeerClient &Client) {
   std::set<ConnectionRef> InUse;
-  for (const auto &[Exchange, J] : Client->Running)
+  for (const auto &[Exchange, J] : Client.Running)
     if (J->Pinned)
       InUse.insert(J->Pinned->Connection);
   std::vector<std::uint64_t> Unused;
-  for (const auto &[Number, Pinned] : Client->Transactions)
-    if (InUse.count(Pinned.Connection) == 0)
+  for (const auto &[Number, Held] : Client.Transactions)
+    if (InUse.count(Held.Pinned.Connection) == 0)
       Unused.push_back(Number);
-  for (std::uint64_t Number : Unused)
+  return Unused;
+}
+
+void StatementForwarder::endTransactions(const PeerClientRef &Client) {
+  for (std::uint64_t Number : unused(*Client))
     rollBackForwarded(Client, Number);
 }
 
+std::vector<EndableTransaction>
+StatementForwarder::restingTransactions(std::string_view Service) {
+  std::vector<EndableTransaction> Resting;
+  for (const PeerClientRef &Client : Clients)
+    for (std::uint64_t Number : unused(*Client)) {
+      const HeldTransaction &Held = Client->Transactions.at(Number);
+      if (Held.Service == Service)
+        Resting.push_back({{Held.Pinned.Connection->Customer,
+                            Held.Pinned.Pool->server().Id, Held.LastUsed},
+                           [this, Client, Number](const CustomerId &For) {
+                             endResting(Client, Number, For);
+                           }});
+    }
+  return Resting;
+}
+
+void StatementForwarder::endResting(const PeerClientRef &Client,
+                                    std::uint64_t Transaction,
+                                    const CustomerId &For) {
+  auto It = Client->Transactions.find(Transaction);
+  if (It == Client->Transactions.end())
+    return;
+  HeldTransaction Held = std::move(It->second);
+  Client->Transactions.erase(It);
+  SessionEngine.events().write(
+      EngineEvent::TransactionEnded,
+      {{"service", Held.Service},
+       {"customer", Held.Pinned.Connection->Customer},
+       {"reason", detail::ConnectionNeededReason},
+       {"idle_ms", SessionEngine.runtime().Now() - Held.LastUsed}});
+  if (auto G = SessionEngine.group(Held.Service))
+    G->handOver(Held.Pinned, For);
+}
+
 void StatementForwarder::returnUnsent(const PeerClientRef &Client) {
   std::vector<std::uint64_t> Unsent;
   for (const auto &[Exchange, J] : Client->Running)
@@ -146,6 +185,7 @@
   if (M.Transaction != 0 && Pinned == Client->Transactions.end()) {
     // The transaction was rolled back.
     Refusal.Reply.Error = ReplyCode::Aborted;
+    Refusal.Reply.ErrorText = "the transaction was rolled back";
     Client->Stream->send(encode(Refusal));
     return;
   }
@@ -184,7 +224,7 @@
   J->OperationStart = Now - M.OperationAge;
   J->FirstTry = Now - M.FirstTryAge;
   if (M.Transaction != 0)
-    J->Pinned = Pinned->second;
+    J->Pinned = Pinned->second.Pinned;
   Client->Running[M.Exchange] = J;
   J->Done = [this, Client, Exchange = M.Exchange, Transaction = M.Transaction,
              Service = J->Route.Service](JobResult Result) {
@@ -207,11 +247,10 @@
   if (Result.Pinned) {
     Answer.Transaction = Transaction != 0 ? Transaction : NextTransaction++;
     Answer.Epoch = Result.Pinned->Epoch;
-    Client->Transactions[Answer.Transaction] = *Result.Pinned;
-    Client->Services[Answer.Transaction] = Service;
+    Client->Transactions[Answer.Transaction] = {*Result.Pinned, Service,
+                                                SessionEngine.runtime().Now()};
   } else if (Transaction != 0) {
     Client->Transactions.erase(Transaction);
-    Client->Services.erase(Transaction);
   }
   Client->Stream->send(detail::encodeAnswer(std::move(Answer)));
 }
@@ -229,10 +268,7 @@
   // Cancelling the statement has closed the connection and so ended the
   // transaction.
   std::erase_if(Client->Transactions, [&](const auto &Entry) {
-    if (Entry.second.Connection != J->Pinned->Connection)
-      return false;
-    Client->Services.erase(Entry.first);
-    return true;
+    return Entry.second.Pinned.Connection == J->Pinned->Connection;
   });
 }
 
@@ -241,12 +277,10 @@
   auto It = Client->Transactions.find(Transaction);
   if (It == Client->Transactions.end())
     return;
-  PinnedConnection Pinned = It->second;
-  auto G = SessionEngine.group(Client->Services[Transaction]);
+  HeldTransaction Held = std::move(It->second);
   Client->Transactions.erase(It);
-  Client->Services.erase(Transaction);
-  if (G)
-    G->rollBack(Pinned);
+  if (auto G = SessionEngine.group(Held.Service))
+    G->rollBack(Held.Pinned);
 }
 
 /// Ends a client whose connection ended or that was unresponsive for too long:
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -4,6 +4,7 @@
 #include "attempt.h"
 #include "engine/forward.h"
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassloom {
 namespace detail {
@@ -347,6 +348,16 @@
   });
 }
 
+void Group::handOver(const PinnedConnection &Pinned, const CustomerId &To) {
+  // The release must not start a statement of another customer that is further
+  // ahead in the queue and would take the place.
+  bool Nested = std::exchange(Scheduling, true);
+  Pinned.Pool->release(Pinned.Connection, false);
+  Pinned.Pool->ensureConnection({To, nullptr});
+  Scheduling = Nested;
+  schedule();
+}
+
 void Group::unpin(const PinnedConnection &Pinned, bool Reuse) {
   Pinned.Pool->release(Pinned.Connection, Reuse);
 }
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -106,8 +106,11 @@
     // Without a lease, the server that the record names as primary must not be
     // used at all. It would otherwise be used as if it were a replica.
     bool IsPrimary = Load.Primary && Now >= NotPrimaryUntil;
-    Load.Available = Pool->available(Customer) && usable(*Pool, Now) &&
-                     (IsPrimary || Id != Record.Primary);
+    bool AcceptsWork =
+        usable(*Pool, Now) && (IsPrimary || Id != Record.Primary);
+    Load.Available = AcceptsWork && Pool->available(Customer);
+    Load.Exhausted =
+        AcceptsWork && Pool->exhausted() && !Pool->opensFor(Customer);
     Load.Connected = Pool->hasIdle(Customer);
     if (PerCustomer)
       Load.AffinityRank = affinityRank(Customer, Id);
@@ -220,6 +223,32 @@
   });
 }
 
+std::vector<BlockedCustomer> Group::blockedCustomers() const {
+  std::vector<BlockedCustomer> Blocked;
+  Instant Now = Hooks.Now();
+  bool Exhausted =
+      std::any_of(Pools.begin(), Pools.end(),
+                  [](const auto &Entry) { return Entry.second->exhausted(); });
+  if (Waiting.empty() || !Exhausted || !anySlotFree(Now))
+    return Blocked;
+  std::map<CustomerId, std::vector<ServerLoad>> Loads;
+  CustomerSet Found;
+  for (const JobRef &J : Waiting) {
+    if (Now < J->NotBefore || Found.count(J->Customer) != 0)
+      continue;
+    auto [It, Added] = Loads.try_emplace(J->Customer);
+    if (Added)
+      It->second = serverLoads(J->Customer, Now);
+    std::vector<UpstreamId> Servers = serversLackingConnection(
+        makePlacementRequest(*J, Now), It->second, Now);
+    if (Servers.empty())
+      continue;
+    Found.insert(J->Customer);
+    Blocked.push_back({J->Customer, std::move(Servers)});
+  }
+  return Blocked;
+}
+
 void Group::scheduleOnce() {
   if (Waiting.empty())
     return;
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -142,6 +142,12 @@
           (hasRoom() || evictionFor({Customer, nullptr}) != nullptr));
 }
 
+bool ServerPool::exhausted() const {
+  return Limits.PerCustomer && !Closed && !hasRoom() &&
+         std::none_of(Open.begin(), Open.end(),
+                      [](const ConnectionRef &C) { return idle(*C); });
+}
+
 void ServerPool::ensureConnection(const ConnectionRequest &Request) {
   if (!hasIdle(Request.Customer) && DialingFor.count(Request.Customer) == 0)
     openAnother(Request);
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -1,6 +1,7 @@
 #include "engine/session.h"
 #include "engine/engine.h"
 #include "engine/forward.h"
+#include <utility>
 
 namespace eelgrassloom {
 namespace detail {
@@ -382,20 +383,40 @@
     endTransaction("idle");
 }
 
-void Session::endTransaction(std::string_view Reason) {
-  if (State != TransactionState::Open || Current || EndedByProxy)
-    return;
+std::optional<PinnedConnection>
+Session::takeTransaction(std::string_view Reason) {
   SessionEngine.events().write(
       EngineEvent::TransactionEnded,
       {{"session", Id},
        {"database", Database},
+       {"customer", Customer},
        {"reason", Reason},
        {"idle_ms", SessionEngine.runtime().Now() - IdleSince}});
-  if (Pinned)
-    ServiceGroup->rollBack(*Pinned);
-  Pinned.reset();
   EndedByProxy = true;
   State = TransactionState::Failed;
+  return std::exchange(Pinned, std::nullopt);
+}
+
+void Session::endTransaction(std::string_view Reason) {
+  if (!rests())
+    return;
+  if (auto Connection = takeTransaction(Reason))
+    ServiceGroup->rollBack(*Connection);
+}
+
+std::optional<RestingTransaction>
+Session::restingTransaction(std::string_view Service) const {
+  if (!rests() || !Pinned || Pinned->Owner || Route.Service != Service)
+    return std::nullopt;
+  return RestingTransaction{Pinned->Connection->Customer,
+                            Pinned->Pool->server().Id, IdleSince};
+}
+
+void Session::endRestingTransaction(const CustomerId &For) {
+  if (!rests() || !Pinned || Pinned->Owner)
+    return;
+  if (auto Connection = takeTransaction(detail::ConnectionNeededReason))
+    ServiceGroup->handOver(*Connection, For);
 }
 
 void Session::close(SessionEnd Reason) {
--- a/packages/engine/test/fakes-test.cpp
+++ b/packages/engine/test/fakes-test.cpp
@@ -59,7 +59,11 @@
   }
 
   bool usable() const override { return !Closed && !Failed; }
-  void close() override { Closed = true; }
+  void close() override {
+    if (Open && !Closed)
+      ++S.ClosedInTransaction;
+    Closed = true;
+  }
 
 private:
   ServerReply answer(const ServerCall &Call) {
--- a/packages/engine/test/fakes.h
+++ b/packages/engine/test/fakes.h
@@ -26,6 +26,8 @@
   Position Log{1, 10};
   std::vector<ServerCall> Received;
   std::size_t Handshakes = 0;
+  /// Connections that were closed with an open transaction, which ends it.
+  std::size_t ClosedInTransaction = 0;
   /// Customer of each dial.
   std::vector<CustomerId> Dialed;
 
