--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -10,6 +10,7 @@
 #include "engine/metrics.h"
 #include "engine/pool.h"
 #include "kernel/estimate.h"
+#include "kernel/fairshare.h"
 #include "kernel/primary.h"
 #include "kernel/promotion.h"
 #include "kernel/retry.h"
@@ -167,10 +168,14 @@
   void setForwarder(StatementForwarder *NewForwarder, bool Needed);
   bool usesOwners() const { return OwnersNeeded; }
   /// Connections belong to customers from now on, or to nobody.
-  void setPerCustomer(bool Enabled) { PerCustomer = Enabled; }
   /// Statements that have not been sent to a server or to another proxy are
   /// checked by \p Check before they are.
   void setKeyCheck(KeyCheck Check) { CheckKey = std::move(Check); }
+  void setPerCustomer(bool Enabled) {
+    PerCustomer = Enabled;
+    if (!Enabled)
+      ServerTime = {};
+  }
   /// True if this proxy runs statements of the service: it needs no owner, is
   /// the owner, or has run a statement within the last few seconds.
   bool inUse() const;
@@ -193,6 +198,9 @@
   /// Returns the connection of a transaction that has ended to its pool;
   /// \p Reuse as for ServerPool::release().
   void unpin(const PinnedConnection &Pinned, bool Reuse);
+  /// Closes the connection of an open transaction, which rolls it back, and
+  /// starts to open one for the customer \p To in its place.
+  void handOver(const PinnedConnection &Pinned, const CustomerId &To);
 
   /// Replaces the servers of the service. \p Cap: connections that one server
   /// accepts from all proxies. \p Domains: failure domains with a proxy.
@@ -234,6 +242,10 @@
   /// No statement or attempt is in progress here.
   bool idle() const { return Active.empty() && Attempts.empty(); }
 
+  /// The customers whose statements wait only for a connection; see
+  /// chooseTransactionsToEnd().
+  std::vector<BlockedCustomer> blockedCustomers() const;
+
   /// Handles timeouts of statements and starts waiting ones; called every
   /// TickInterval while not idle().
   void tick();
@@ -289,6 +301,8 @@
   void handleReply(const AttemptRef &A, ServerReply Reply);
   void recordPosition(const Attempt &A, const ServerReply &Reply);
   void endAttempt(const AttemptRef &A, bool Reuse);
+  /// Counts the server time of an attempt that ends for its customer.
+  void countServerTime(const Attempt &A);
   void retryOrFail(const AttemptRef &A, const ServerReply &Reply,
                    bool MayHaveRun);
   void finish(const JobRef &J, JobResult Result);
@@ -371,6 +385,8 @@
   std::list<JobRef> Waiting;
   std::array<unsigned, PriorityCount> WaitingByPriority{};
   WaitingByCustomer WaitingCustomers;
+  /// Server time of the attempts here; empty if connections belong to nobody.
+  ServerTimeUse ServerTime;
   /// Each connection belongs to a customer.
   bool PerCustomer = false;
   /// Since when this proxy owns the service; empty if it does not.
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -4,6 +4,7 @@
 #include "attempt.h"
 #include "engine/forward.h"
 #include <algorithm>
+#include <utility>
 
 namespace eelgrassloom {
 namespace detail {
@@ -208,6 +209,7 @@
     --J.Running;
     A->Ended = true;
     Attempts.remove(A);
+    countServerTime(*A);
   } else {
     endAttempt(A, Clean);
   }
@@ -251,9 +253,16 @@
   retryOrFail(A, Reply, Ran);
 }
 
+void Group::countServerTime(const Attempt &A) {
+  Instant Now = Hooks.Now();
+  if (PerCustomer)
+    recordServerTime(ServerTime, A.J->Customer, Now - A.StartedAt, Now);
+}
+
 void Group::endAttempt(const AttemptRef &A, bool Reuse) {
   A->Ended = true;
   Attempts.remove(A);
+  countServerTime(*A);
   --A->Pool->InFlight;
   --A->J->Running;
   if (A->MayCommit)
@@ -341,6 +350,16 @@
   });
 }
 
+void Group::handOver(const PinnedConnection &Pinned, const CustomerId &To) {
+  // The release must not start a statement of another customer that is further
+  // ahead in the queue and would take the place.
+  bool Nested = std::exchange(Scheduling, true);
+  Pinned.Pool->release(Pinned.Connection, false);
+  Pinned.Pool->ensureConnection({To, nullptr});
+  Scheduling = Nested;
+  schedule();
+}
+
 void Group::unpin(const PinnedConnection &Pinned, bool Reuse) {
   Pinned.Pool->release(Pinned.Connection, Reuse);
 }
--- a/packages/kernel/include/kernel/placement.h
+++ b/packages/kernel/include/kernel/placement.h
@@ -28,6 +28,9 @@
   bool Available = false;
   /// A connection to it is idle.
   bool Connected = false;
+  /// All connections that the proxy may open are in use, and none is being
+  /// opened for the customer; otherwise the server accepts new work.
+  bool Exhausted = false;
   /// Recent requests failed; the server is used only if there is no other.
   bool Suspected = false;
   /// New connections have failed for longer than the tolerance.
@@ -70,6 +73,12 @@
 /// processor time left to answer its peers.
 bool anyFree(const std::vector<ServerLoad> &Servers, Priority P);
 
+/// The servers that could start the statement now if a connection to them was
+/// free. Empty if the statement waits for something else.
+std::vector<UpstreamId>
+serversLackingConnection(const PlacementRequest &Request,
+                         const std::vector<ServerLoad> &Servers, Instant Now);
+
 /// Maximum number of statements that run at once on a server when a statement
 /// of priority \p P is started. Urgent work may exceed \p Limit by one, so that
 /// it does not wait for other work.
@@ -132,6 +141,9 @@
   /// The priority is overloaded, so the newest statement, which is the most
   /// likely to meet its objective, runs first.
   bool NewestFirst = false;
+  /// The customer has used more than its share of the servers; the statement
+  /// waits behind the others of its priority and lateness.
+  bool AboveShare = false;
 };
 
 /// True if \p A runs before \p B.
@@ -146,13 +158,16 @@
   Duration LatencyObjective{0};
   /// Expected time from the start of an attempt to its answer.
   Duration ExpectedRun{0};
+  /// See customersAboveShare(); false without customers.
+  bool AboveShare = false;
 };
 
 /// Indices of the statements in the order in which they run. If the load of a
 /// priority exceeds the capacity of a server for seconds, order by due time
 /// would start every statement when it is almost too late, and most answers
 /// would miss their objective. A priority whose statements have waited long is
-/// therefore served newest first.
+/// therefore served newest first. Statements of customers above their share are
+/// judged apart, because a backlog of theirs does not delay the others.
 std::vector<std::size_t> waitOrder(const std::vector<WaitingStatement> &Waiting,
                                    Instant Now);
 
--- a/packages/kernel/src/placement.cpp
+++ b/packages/kernel/src/placement.cpp
@@ -35,16 +35,20 @@
   return Server.Available && Server.InFlight < limitFor(Server.Limit, P);
 }
 
+/// True if the server may run the statement, as far as its role and its
+/// position tell.
+bool qualifies(const PlacementRequest &Request, const ServerLoad &Server,
+               Instant Now) {
+  return Server.Primary || (!Request.PrimaryOnly && Request.Required &&
+                            mayContain(Server, *Request.Required, Now));
+}
+
 /// True if the statement may start on the server now.
 bool usable(const PlacementRequest &Request, const ServerLoad &Server,
             Instant Now) {
-  if (!hasRoom(Server, Request.WorkPriority) ||
-      (Request.ConnectedOnly && !Server.Connected))
-    return false;
-  if (Server.Primary)
-    return true;
-  return !Request.PrimaryOnly && Request.Required &&
-         mayContain(Server, *Request.Required, Now);
+  return hasRoom(Server, Request.WorkPriority) &&
+         (!Request.ConnectedOnly || Server.Connected) &&
+         qualifies(Request, Server, Now);
 }
 
 /// Lower is better. A replica is preferred to the primary, so that the primary
@@ -66,6 +70,22 @@
       [P](const ServerLoad &Server) { return detail::hasRoom(Server, P); });
 }
 
+std::vector<UpstreamId>
+serversLackingConnection(const PlacementRequest &Request,
+                         const std::vector<ServerLoad> &Servers, Instant Now) {
+  std::vector<UpstreamId> Lacking;
+  for (const ServerLoad &Server : Servers) {
+    if (Server.Unreachable || !detail::qualifies(Request, Server, Now) ||
+        Server.InFlight >= limitFor(Server.Limit, Request.WorkPriority))
+      continue;
+    if (Server.Available)
+      return {};
+    if (Server.Exhausted)
+      Lacking.push_back(Server.Id);
+  }
+  return Lacking;
+}
+
 unsigned limitFor(unsigned Limit, Priority P) {
   return P == Priority::Urgent ? Limit + 1 : Limit;
 }
@@ -113,20 +133,23 @@
 
 std::vector<std::size_t> waitOrder(const std::vector<WaitingStatement> &Waiting,
                                    Instant Now) {
-  std::array<bool, PriorityCount> Overloaded{};
+  // By AboveShare and priority.
+  std::array<std::array<bool, PriorityCount>, 2> Overloaded{};
   std::vector<WaitKey> Keys;
   Keys.reserve(Waiting.size());
   for (const WaitingStatement &W : Waiting) {
     Instant Due = W.FirstTry + W.LatencyObjective;
     bool Late = Now + W.ExpectedRun >= Due;
-    Keys.push_back({Late, W.WorkPriority, Due});
+    Keys.push_back({Late, W.WorkPriority, Due, false, W.AboveShare});
     auto LongWait = std::chrono::duration_cast<Duration>(W.LatencyObjective *
                                                          detail::OverloadShare);
     if (!Late && Now - W.FirstTry >= LongWait)
-      Overloaded[static_cast<std::size_t>(W.WorkPriority)] = true;
+      Overloaded[W.AboveShare ? 1 : 0]
+                [static_cast<std::size_t>(W.WorkPriority)] = true;
   }
   for (WaitKey &Key : Keys)
-    Key.NewestFirst = Overloaded[static_cast<std::size_t>(Key.WorkPriority)];
+    Key.NewestFirst = Overloaded[Key.AboveShare ? 1 : 0]
+                                [static_cast<std::size_t>(Key.WorkPriority)];
   std::vector<std::size_t> Order(Waiting.size());
   std::iota(Order.begin(), Order.end(), std::size_t{0});
   std::stable_sort(
@@ -140,6 +163,8 @@
     return A.WorkPriority < B.WorkPriority;
   if (A.Late != B.Late)
     return B.Late;
+  if (A.AboveShare != B.AboveShare)
+    return B.AboveShare;
   return A.NewestFirst ? B.Due < A.Due : A.Due < B.Due;
 }
 
