Apply the condition and the pace of servers in pools and placement

Cause: The decisions of kernel/serverpace.h were not used.

Change: Pools have a paced limit, and groups record the end of each statement in them. A server begins at one statement when it is registered anew, has started again, or becomes reachable again. Events 136 to 138, eelgrassloom_server_limit and eelgrassloom_server_degraded. Nothing of it happens before Engine::enablePace().

--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -39,6 +39,10 @@
   void setLimiter(OperationLimiter Next) { Limiter = std::move(Next); }
   const OperationLimiter &limiter() const { return Limiter; }
 
+  /// Infers the condition of servers from their answers from now on: degraded
+  /// servers get trials only, and servers that have just started are paced.
+  void enablePace();
+
   const RoutingConfig &config() const { return Config; }
   /// Null if no configuration has named the service.
   std::shared_ptr<Group> group(std::string_view Service) const;
@@ -107,6 +111,7 @@
   std::size_t FailureDomainCount = 1;
   StatementForwarder *Forwarder = nullptr;
   OperationLimiter Limiter;
+  bool PaceEnabled = false;
   std::map<std::string, std::shared_ptr<Group>, std::less<>> Groups;
   std::map<SessionId, std::shared_ptr<Session>> Sessions;
   SessionId NextSession = 1;
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -64,6 +64,9 @@
   InputRejected,
   LinesDropped,
   AnswerRejected,
+  ServerDegraded,
+  ServerRecovered,
+  ServerPaceEnded,
 };
 
 /// Number and name of an event in the log, and how many of its lines are
@@ -75,7 +78,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 47> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 50> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -123,6 +126,9 @@
     {170, "input-rejected", 20},
     {171, "lines-dropped", 1},
     {172, "answer-rejected", 20},
+    {136, "server-degraded", 20},
+    {137, "server-recovered", 20},
+    {138, "server-pace-ended", 20},
 }};
 
 /// One field of a line: a key with a text or a number. Refers to the texts that
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -159,6 +159,9 @@
   bool usesOwners() const { return OwnersNeeded; }
   /// Connections belong to customers from now on, or to nobody.
   void setPerCustomer(bool Enabled) { PerCustomer = Enabled; }
+  /// The condition of each server is inferred from its answers from now on, see
+  /// kernel/serverpace.h.
+  void enablePace();
   /// True if this proxy runs statements of the service: it needs no owner, is
   /// the owner, or has run a statement within the last few seconds.
   bool inUse() const;
@@ -218,6 +221,10 @@
   /// Adds the open connections of each customer to \p Counts. Returns the
   /// number of connections that were closed so far for another customer.
   std::uint64_t countConnections(std::map<CustomerId, unsigned> &Counts) const;
+  /// Adds the limit of each server, and whether it is degraded, to \p
+  /// Conditions. Adds nothing unless enablePace() was called.
+  void
+  addServerConditions(std::map<UpstreamId, ServerCondition> &Conditions) const;
   /// No statement or attempt is in progress here.
   bool idle() const { return Active.empty() && Attempts.empty(); }
 
@@ -275,6 +282,11 @@
   void send(const AttemptRef &A);
   void handleReply(const AttemptRef &A, ServerReply Reply);
   void recordPosition(const Attempt &A, const ServerReply &Reply);
+  /// Records the end of a statement in the condition of its server.
+  void recordOutcome(const Attempt &A, ServerOutcome Outcome);
+  /// The same according to the answer, unless it tells nothing about the
+  /// server.
+  void recordOutcome(const Attempt &A, const ServerReply &Reply);
   void endAttempt(const AttemptRef &A, bool Reuse);
   void retryOrFail(const AttemptRef &A, const ServerReply &Reply,
                    bool MayHaveRun);
@@ -359,6 +371,9 @@
   WaitingByCustomer WaitingCustomers;
   /// Each connection belongs to a customer.
   bool PerCustomer = false;
+  bool PaceEnabled = false;
+  /// Servers were known before, so that one that appears has just started.
+  bool ServersKnown = false;
   /// Since when this proxy owns the service; empty if it does not.
   std::optional<Instant> OwnerSince;
   std::uint64_t EvictionsOfRemovedPools = 0;
--- a/packages/engine/include/engine/metrics.h
+++ b/packages/engine/include/engine/metrics.h
@@ -38,6 +38,13 @@
   Duration PollAge{0};
 };
 
+/// Condition of a server as this proxy infers it from its answers.
+struct ServerCondition {
+  /// Statements of this proxy that may run there at once.
+  unsigned Limit = 0;
+  bool Degraded = false;
+};
+
 /// Metrics of one process.
 class Metrics {
 public:
@@ -57,6 +64,10 @@
   void setEvictionCount(std::uint64_t Total) {
     Evictions->Increment(static_cast<double>(Total) - Evictions->Value());
   }
+  /// Sets the limit and the condition of each server. Servers that are absent
+  /// have a limit of zero.
+  void
+  setServerConditions(const std::map<UpstreamId, ServerCondition> &Conditions);
   void recordRetry() { Retries->Increment(); }
   void recordHandshake() { Handshakes->Increment(); }
   /// Records an answer of a server that answers no request in progress.
@@ -93,6 +104,10 @@
   prometheus::Counter *Evictions = nullptr;
   /// Gauges that have been set, by customer.
   std::map<std::string, prometheus::Gauge *> ConnectionGauges;
+  prometheus::Family<prometheus::Gauge> *ServerLimits = nullptr;
+  prometheus::Family<prometheus::Gauge> *DegradedServers = nullptr;
+  /// Gauges of the limit and of the condition that have been set, by server.
+  std::map<UpstreamId, std::array<prometheus::Gauge *, 2>> ServerGauges;
   prometheus::Gauge *Sessions = nullptr;
   prometheus::Gauge *ConfigVersion = nullptr;
   prometheus::Gauge *ConfigOutdated = nullptr;
--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -10,6 +10,7 @@
 #include "kernel/connectioncache.h"
 #include "kernel/placement.h"
 #include "kernel/routes.h"
+#include "kernel/serverpace.h"
 #include "kernel/sessionstate.h"
 #include <set>
 
@@ -107,6 +108,10 @@
   /// restarted or has another address.
   void update(const ServerEntry &Changed);
   void setLimits(const PoolLimits &Next) { Limits = Next; }
+  /// The condition of the server is inferred from its answers from now on.
+  void enablePace() { PaceEnabled = true; }
+  /// The server has just been registered and gets one statement at first.
+  void startPace();
 
   /// \p Handler is called when a connection has been released and when a dial
   /// has ended.
@@ -142,6 +147,9 @@
   bool suspected() const { return Failing || Suspicion > 0; }
   /// Statements of this proxy that may run at the server at once.
   unsigned limit() const;
+  /// Condition of the server; unchanged unless enablePace() was called.
+  const ServerPace &pace() const { return Pace; }
+  bool degraded() const { return Pace.Degraded; }
   std::size_t connections() const { return Open.size(); }
   /// Connections closed so far to make room for another customer.
   std::uint64_t evictions() const { return EvictionCount; }
@@ -156,6 +164,16 @@
   void exchangeDone(bool Failed);
   /// The server refused a statement as overloaded.
   void recordOverload();
+  /// Infers the condition of the server from the end of a statement. \p
+  /// Siblings: the other servers of the service. Ignored unless enablePace()
+  /// was called.
+  void recordAnswer(const ServerAnswer &Answer,
+                    const std::vector<const ServerPace *> &Siblings);
+  /// A statement starts; it is a trial if one is due.
+  void recordStart();
+  /// Opens a connection for the next trial if one is due and the customer has
+  /// no idle connection, at most once in TrialInterval.
+  void prepareTrial(const CustomerId &Customer);
   /// Called regularly while failing(): dials again if the pool is in use, and
   /// forgets an old failure otherwise.
   void checkFailure(bool InUse);
@@ -198,6 +216,10 @@
   ConnectionRef take(ConnectionRef Connection, SessionId Session);
   void reportReachability();
   void markReachable();
+  void reportPace(EngineEvent Event);
+  unsigned normalLimit() const {
+    return proxyLimit(Server.Slots, Limits.Sharers);
+  }
 
   ServerEntry Server;
   PoolLimits Limits;
@@ -211,6 +233,9 @@
   /// Handshakes in progress by customer.
   std::map<CustomerId, unsigned, std::less<>> DialingFor;
   CustomerUse Use;
+  bool PaceEnabled = false;
+  ServerPace Pace;
+  Instant NextTrialDial;
   std::uint64_t EvictionCount = 0;
   /// Failed dials, other than timeouts, since the server was last reachable.
   unsigned Refusals = 0;
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -62,11 +62,20 @@
     Forwarder->setPeers(Registered);
 }
 
+void Engine::enablePace() {
+  PaceEnabled = true;
+  for (const auto &Entry : Groups)
+    Entry.second->enablePace();
+}
+
 void Engine::refreshGroups() {
   for (const auto &[Name, Service] : Config.Services) {
     auto &Entry = Groups[Name];
-    if (!Entry)
+    if (!Entry) {
       Entry = Group::create(Name, FailureDomain, Hooks, Dial, Events, Counters);
+      if (PaceEnabled)
+        Entry->enablePace();
+    }
     std::vector<ServerEntry> Members;
     unsigned Slots = std::numeric_limits<unsigned>::max();
     for (const ServerEntry &Server : Servers)
@@ -166,6 +175,10 @@
     Evictions += Entry.second->countConnections(Counts);
   Counters.setConnectionCounts(Counts);
   Counters.setEvictionCount(Evictions);
+  std::map<UpstreamId, ServerCondition> Conditions;
+  for (const auto &Entry : Groups)
+    Entry.second->addServerConditions(Conditions);
+  Counters.setServerConditions(Conditions);
 }
 
 void Engine::tick() {
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -63,6 +63,11 @@
     auto &Pool = Pools[Server.Id];
     if (!Pool) {
       Pool = ServerPool::create(Server, Hooks, Dial, Events);
+      if (PaceEnabled) {
+        Pool->enablePace();
+        if (ServersKnown)
+          Pool->startPace();
+      }
       Pool->onChange([Weak = weak_from_this()] {
         if (auto Self = Weak.lock())
           Self->schedule();
@@ -76,6 +81,7 @@
                    {{"server", Server.Id}, {"service", Service}});
     }
   }
+  ServersKnown = ServersKnown || !Servers.empty();
   std::vector<std::shared_ptr<ServerPool>> Removed;
   std::erase_if(Pools, [&](const auto &Entry) {
     if (Known.count(Entry.first) != 0)
@@ -135,6 +141,20 @@
   OwnersNeeded = Needed && NewForwarder != nullptr;
 }
 
+void Group::enablePace() {
+  PaceEnabled = true;
+  for (const auto &Entry : Pools)
+    Entry.second->enablePace();
+}
+
+void Group::addServerConditions(
+    std::map<UpstreamId, ServerCondition> &Conditions) const {
+  if (!PaceEnabled)
+    return;
+  for (const auto &[Id, Pool] : Pools)
+    Conditions[Id] = {Pool->limit(), Pool->degraded()};
+}
+
 bool Group::inUse() const {
   return !OwnersNeeded || Forwarder->owns(Service) ||
          Hooks.Now() - LastLocalRun < detail::RecentUse;
--- a/packages/engine/src/groupattempt.cpp
+++ b/packages/engine/src/groupattempt.cpp
@@ -75,6 +75,7 @@
       A->OnPrimary && ((J->Kind == JobKind::Autocommit && J->Write) ||
                        (J->Kind == JobKind::Commit && J->Wrote));
   ++Pool->InFlight;
+  Pool->recordStart();
   ++J->Running;
   ++J->Attempts;
   J->SentAt = A->StartedAt;
@@ -132,6 +133,7 @@
     return;
   }
   recordPosition(*A, Replies.back());
+  recordOutcome(*A, detail::failureOf(Replies));
   // An open transaction ends with its connection.
   bool Clean = !Replies.back().NoAnswer &&
                Replies.back().State == TransactionState::None &&
@@ -178,11 +180,39 @@
     addPosition(Positions, {A.SentAt, *Reply.LogPosition, A.Epoch});
 }
 
+void Group::recordOutcome(const Attempt &A, ServerOutcome Outcome) {
+  if (!PaceEnabled)
+    return;
+  ServerAnswer Answer;
+  Answer.Outcome = Outcome;
+  Answer.WorkPriority = A.J->Route.WorkPriority;
+  // Writes run on the primary only, and transactions wait for their callers.
+  Answer.Comparable = A.J->Kind == JobKind::Autocommit && !A.J->Write;
+  Answer.SentAt = A.SentAt;
+  Answer.EndedAt = Hooks.Now();
+  std::vector<const ServerPace *> Siblings;
+  for (const auto &Entry : Pools)
+    if (Entry.second != A.Pool)
+      Siblings.push_back(&Entry.second->pace());
+  A.Pool->recordAnswer(Answer, Siblings);
+}
+
+void Group::recordOutcome(const Attempt &A, const ServerReply &Reply) {
+  // An exchange on a connection that had ended before did not reach the server.
+  if (Reply.ok())
+    recordOutcome(A, ServerOutcome::Answered);
+  else if (Reply.NoAnswer ? !Reply.NotSent : Reply.Error == ReplyCode::Failed)
+    recordOutcome(A, ServerOutcome::Failed);
+  else if (Reply.Error == ReplyCode::Busy)
+    recordOutcome(A, ServerOutcome::Refused);
+}
+
 void Group::handleReply(const AttemptRef &A, ServerReply Reply) {
   if (A->Ended)
     return;
   Job &J = *A->J;
   recordPosition(*A, Reply);
+  recordOutcome(*A, Reply);
   A->Pool->exchangeDone(Reply.NoAnswer || Reply.Error == ReplyCode::Failed);
   bool LeaseHeld =
       !A->MayCommit || (valid(Lease, Hooks.Now()) && Lease.Epoch == A->Epoch);
--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -106,13 +106,15 @@
     // Without a lease, the server that the record names as primary must not be
     // used at all. It would otherwise be used as if it were a replica.
     bool IsPrimary = Load.Primary && Now >= NotPrimaryUntil;
-    Load.Available = Pool->available(Customer) && usable(*Pool, Now) &&
-                     (IsPrimary || Id != Record.Primary);
+    Load.InService = usable(*Pool, Now) && (IsPrimary || Id != Record.Primary);
+    Load.Available = Load.InService && Pool->available(Customer);
     Load.Connected = Pool->hasIdle(Customer);
     if (PerCustomer)
       Load.AffinityRank = affinityRank(Customer, Id);
     Load.Suspected = Pool->suspected();
     Load.Unreachable = Pool->unreachable();
+    Load.Degraded = Pool->degraded();
+    Load.TrialDue = trialDue(Pool->pace(), Now);
     Load.InFlight = Pool->InFlight;
     Load.Limit = Pool->limit();
     Load.Applied = Pool->Applied;
@@ -145,6 +147,7 @@
     Request.Required = requiredPositionFor(J);
   Request.WorkPriority = J.Route.WorkPriority;
   Request.Excluded = &J.Excluded;
+  Request.TrialAllowed = !Request.PrimaryOnly && J.Attempts == 0;
   return Request;
 }
 
@@ -153,6 +156,9 @@
   if (Now < J->NotBefore || !anyFree(Loads, J->Route.WorkPriority))
     return false;
   PlacementRequest Request = makePlacementRequest(*J, Now);
+  if (Request.TrialAllowed)
+    for (const auto &Entry : Pools)
+      Entry.second->prepareTrial(J->Customer);
   auto Choice = chooseServer(Request, Loads, Now);
   if (Choice && !Loads[*Choice].Connected) {
     // A handshake that takes longer than usual may never finish; any open
@@ -212,8 +218,13 @@
   if (!PerCustomer)
     return anyFree(serverLoads({}, Now), mostUrgentWaiting());
   Priority P = mostUrgentWaiting();
+  auto Primary = primaryPool();
+  bool TrialsOnly = Primary && usable(*Primary, Now) && !Primary->degraded() &&
+                    !Primary->suspected() && !Primary->unreachable();
   return std::any_of(Pools.begin(), Pools.end(), [&](const auto &Entry) {
-    return Entry.second->InFlight < limitFor(Entry.second->limit(), P);
+    const ServerPool &Pool = *Entry.second;
+    return Pool.InFlight < limitFor(Pool.limit(), P) &&
+           (!TrialsOnly || !Pool.degraded() || trialDue(Pool.pace(), Now));
   });
 }
 
@@ -337,6 +348,7 @@
   Result.Reply.NoAnswer = true;
   if (A && !A->Ended) {
     A->Pool->exchangeTimedOut(A->SentAt);
+    recordOutcome(*A, ServerOutcome::Failed);
     bool Started = A->StatementSent;
     endAttempt(A, false);
     if (!Started && !J->Sent) {
@@ -355,6 +367,7 @@
     if (!A->Ended && A->J->Finished &&
         Now - A->StartedAt >= A->J->Route.StatementTimeout) {
       A->Pool->exchangeTimedOut(A->SentAt);
+      recordOutcome(*A, ServerOutcome::Failed);
       endAttempt(A, false);
     }
 }
--- a/packages/engine/src/metrics.cpp
+++ b/packages/engine/src/metrics.cpp
@@ -90,6 +90,15 @@
                    .Help("Connections to servers closed for another customer.")
                    .Register(Registry)
                    .Add({});
+  ServerLimits = &prometheus::BuildGauge()
+                      .Name("eelgrassloom_server_limit")
+                      .Help("Statements that this proxy may run at once on a "
+                            "server.")
+                      .Register(Registry);
+  DegradedServers = &prometheus::BuildGauge()
+                         .Name("eelgrassloom_server_degraded")
+                         .Help("1 while a server gets trial statements only.")
+                         .Register(Registry);
   auto Gauge = [this](const std::string &Name, const std::string &Help) {
     return &prometheus::BuildGauge()
                 .Name(Name)
@@ -134,6 +143,21 @@
   }
 }
 
+void Metrics::setServerConditions(
+    const std::map<UpstreamId, ServerCondition> &Conditions) {
+  for (const auto &Entry : ServerGauges)
+    for (prometheus::Gauge *Gauge : Entry.second)
+      Gauge->Set(0);
+  for (const auto &[Id, Condition] : Conditions) {
+    auto [It, New] = ServerGauges.try_emplace(Id);
+    if (New)
+      It->second = {&ServerLimits->Add({{"server", Id}}),
+                    &DegradedServers->Add({{"server", Id}})};
+    It->second[0]->Set(Condition.Limit);
+    It->second[1]->Set(Condition.Degraded ? 1 : 0);
+  }
+}
+
 void Metrics::recordStoreCall(bool Answered) {
   StoreCalls[Answered ? 1 : 0]->Increment();
 }
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -24,9 +24,14 @@
 void ServerPool::update(const ServerEntry &Next) {
   bool Restarted =
       Next.StartedAt != Server.StartedAt || Next.Address != Server.Address;
+  // An entry that has not told the start of the server before does not prove
+  // that it has started again.
+  bool StartKnown = Server.StartedAt != 0 || Next.Address != Server.Address;
   Server = Next;
   if (!Restarted)
     return;
+  if (StartKnown)
+    startPace();
   NextDial = Hooks.Now();
   Backoff = Duration::zero();
 }
@@ -217,6 +222,8 @@
   }
   if (Outcome != DialOutcome::TimedOut)
     ++Refusals;
+  if (PaceEnabled)
+    recordHandshakeFailure(Pace, Now);
   Backoff = std::clamp(2 * Backoff, Options.InitialBackoff, Options.MaxBackoff);
   NextDial = Now + Backoff;
   reportReachability();
@@ -246,6 +253,8 @@
   if (IsUnreachable == ReportedUnreachable)
     return;
   ReportedUnreachable = IsUnreachable;
+  if (!IsUnreachable)
+    startPace();
   Events.write(IsUnreachable ? EngineEvent::ServerUnreachable
                              : EngineEvent::ServerReachable,
                {{"server", Server.Id},
@@ -256,8 +265,61 @@
                  Failing ? Hooks.Now() - FailingSince : Duration::zero()}});
 }
 
+void ServerPool::startPace() {
+  if (!PaceEnabled)
+    return;
+  bool WasDegraded = Pace.Degraded;
+  beginPace(Pace, Hooks.Now());
+  if (WasDegraded)
+    reportPace(EngineEvent::ServerRecovered);
+}
+
+void ServerPool::reportPace(EngineEvent Event) {
+  Events.write(
+      Event,
+      {{"server", Server.Id},
+       {"service", Server.Service},
+       {"slowness_percent", static_cast<std::int64_t>(Pace.Slowness * 100)},
+       {"failures", Pace.Current.Failures + Pace.Previous.Failures},
+       {"answers", Pace.Current.Total + Pace.Previous.Total},
+       {"limit", limit()}});
+}
+
+void ServerPool::recordAnswer(const ServerAnswer &Answer,
+                              const std::vector<const ServerPace *> &Siblings) {
+  if (!PaceEnabled)
+    return;
+  switch (eelgrassloom::recordAnswer(Pace, Answer, Siblings, normalLimit())) {
+  case PaceChange::None:
+    return;
+  case PaceChange::Degraded:
+    reportPace(EngineEvent::ServerDegraded);
+    return;
+  case PaceChange::Recovered:
+    reportPace(EngineEvent::ServerRecovered);
+    return;
+  case PaceChange::PaceEnded:
+    reportPace(EngineEvent::ServerPaceEnded);
+    return;
+  }
+}
+
+void ServerPool::recordStart() {
+  Instant Now = Hooks.Now();
+  if (trialDue(Pace, Now))
+    recordTrial(Pace, Now);
+}
+
+void ServerPool::prepareTrial(const CustomerId &Customer) {
+  Instant Now = Hooks.Now();
+  if (!trialDue(Pace, Now) || Now < NextTrialDial || hasIdle(Customer))
+    return;
+  NextTrialDial = Now + TrialInterval;
+  ensureConnection({Customer, nullptr});
+}
+
 unsigned ServerPool::limit() const {
-  unsigned Limit = proxyLimit(Server.Slots, Limits.Sharers);
+  unsigned Limit = pacedLimit(Pace, normalLimit());
   return Hooks.Now() < OverloadedUntil ? std::max(1U, Limit / 2) : Limit;
 }
 
--- a/packages/kernel/include/kernel/placement.h
+++ b/packages/kernel/include/kernel/placement.h
@@ -32,6 +32,13 @@
   bool Suspected = false;
   /// New connections have failed for longer than the tolerance.
   bool Unreachable = false;
+  /// The server is neither draining nor a primary that must not be used.
+  bool InService = true;
+  /// The server is slow or fails statements, see serverpace.h. It is used for
+  /// statements that no other server can run.
+  bool Degraded = false;
+  /// The server is degraded and may get a trial statement now.
+  bool TrialDue = false;
   /// Preference of the customer among servers to which it has no idle
   /// connection, see affinityRank(); 0 if connections belong to nobody.
   std::uint64_t AffinityRank = 0;
@@ -53,6 +60,9 @@
   const std::vector<UpstreamId> *Excluded = nullptr;
   /// Only servers with an idle connection qualify.
   bool ConnectedOnly = false;
+  /// The statement may be the trial of a degraded server: a read that was not
+  /// tried before and can run elsewhere if the trial fails.
+  bool TrialAllowed = false;
 };
 
 /// Time for which a replica that lacked a position is not tried again for it.
@@ -63,6 +73,10 @@
                                         const std::vector<ServerLoad> &Servers,
                                         Instant Now);
 
+/// True if a server that is not degraded is primary and can be used. Every
+/// statement can run there, so that degraded replicas get trials only.
+bool hasHealthyPrimary(const std::vector<ServerLoad> &Servers);
+
 /// True if some server can start a statement of priority \p P, as far as its
 /// limit and its connections tell. Load pattern: a queue of hundreds of
 /// statements before servers that are all busy. Each arrival and each answer
--- a/packages/kernel/src/placement.cpp
+++ b/packages/kernel/src/placement.cpp
@@ -35,6 +35,22 @@
   return Server.Available && Server.InFlight < limitFor(Server.Limit, P);
 }
 
+/// True if the server can run the statement, now or after other work, and
+/// nothing is wrong with it.
+bool healthyFor(const PlacementRequest &Request, const ServerLoad &Server,
+                Instant Now) {
+  if (Server.Degraded || Server.Suspected || Server.Unreachable ||
+      !Server.InService || excluded(Request, Server.Id))
+    return false;
+  return Server.Primary || (!Request.PrimaryOnly && Request.Required &&
+                            mayContain(Server, *Request.Required, Now));
+}
+
+/// The statement is the next trial of the server.
+bool isTrial(const PlacementRequest &Request, const ServerLoad &Server) {
+  return Server.TrialDue && Server.Connected && Request.TrialAllowed;
+}
+
 /// True if the statement may start on the server now.
 bool usable(const PlacementRequest &Request, const ServerLoad &Server,
             Instant Now) {
@@ -52,18 +68,31 @@
 /// customers, a server with an idle connection of the customer comes first.
 auto cost(const PlacementRequest &Request, const ServerLoad &Server) {
   bool Affine = Server.AffinityRank != 0;
+  // A trial comes first: the server would never get one otherwise.
   return std::make_tuple(
-      excluded(Request, Server.Id), Server.Suspected, Server.Primary,
-      Affine && !Server.Connected, Server.Connected ? 0 : Server.AffinityRank,
-      Server.InFlight, !Server.Connected, !Server.SameFailureDomain);
+      !isTrial(Request, Server), excluded(Request, Server.Id), Server.Degraded,
+      Server.Suspected, Server.Primary, Affine && !Server.Connected,
+      Server.Connected ? 0 : Server.AffinityRank, Server.InFlight,
+      !Server.Connected, !Server.SameFailureDomain);
 }
 
 } // namespace detail
 
+bool hasHealthyPrimary(const std::vector<ServerLoad> &Servers) {
+  return std::any_of(
+      Servers.begin(), Servers.end(), [](const ServerLoad &Server) {
+        return Server.Primary && Server.InService && !Server.Degraded &&
+               !Server.Suspected && !Server.Unreachable;
+      });
+}
+
 bool anyFree(const std::vector<ServerLoad> &Servers, Priority P) {
+  bool TrialsOnly = hasHealthyPrimary(Servers);
   return std::any_of(
-      Servers.begin(), Servers.end(),
-      [P](const ServerLoad &Server) { return detail::hasRoom(Server, P); });
+      Servers.begin(), Servers.end(), [&](const ServerLoad &Server) {
+        return detail::hasRoom(Server, P) &&
+               (!TrialsOnly || !Server.Degraded || Server.TrialDue);
+      });
 }
 
 unsigned limitFor(unsigned Limit, Priority P) {
@@ -100,10 +129,16 @@
 std::optional<std::size_t> chooseServer(const PlacementRequest &Request,
                                         const std::vector<ServerLoad> &Servers,
                                         Instant Now) {
+  bool Healthy = std::any_of(Servers.begin(), Servers.end(),
+                             [&](const ServerLoad &Server) {
+                               return detail::healthyFor(Request, Server, Now);
+                             });
   std::optional<std::size_t> Best;
   for (std::size_t I = 0; I < Servers.size(); ++I) {
     if (!detail::usable(Request, Servers[I], Now))
       continue;
+    if (Servers[I].Degraded && Healthy && !detail::isTrial(Request, Servers[I]))
+      continue;
     if (!Best || detail::cost(Request, Servers[I]) <
                      detail::cost(Request, Servers[*Best]))
       Best = I;
