Test degraded servers in placement and with slow answers

Cause: The tests of the engine had servers that fail, but none that are slow, and no customers.

Change: Fake servers can answer after a time (default: at once, as before). Tests of one slow server, of servers that become slow together, of trials on connections of customers, and of placement beside degraded servers.

--- a/packages/engine/test/fakes-test.cpp
+++ b/packages/engine/test/fakes-test.cpp
@@ -50,12 +50,16 @@
     }
     if (S.Unresponsive)
       return;
-    F.Ready.push_back([this, Alive = std::weak_ptr<bool>(Token),
-                       Replies = std::move(Replies),
-                       Done = std::move(Done)]() mutable {
+    auto Deliver = [this, Alive = std::weak_ptr<bool>(Token),
+                    Replies = std::move(Replies),
+                    Done = std::move(Done)]() mutable {
       if (!Alive.expired() && !Closed)
         Done(std::move(Replies));
-    });
+    };
+    if (S.AnswerTime == Duration::zero())
+      F.Ready.push_back(std::move(Deliver));
+    else
+      F.Hooks.After(S.AnswerTime, std::move(Deliver));
   }
 
   bool usable() const override { return !Closed && !Failed; }
--- a/packages/engine/test/fakes.h
+++ b/packages/engine/test/fakes.h
@@ -21,6 +21,8 @@
   /// Requests are recorded but never answered, and dials time out.
   bool Unresponsive = false;
   bool RefusesConnections = false;
+  /// Time from a request to its answer.
+  Duration AnswerTime{0};
   /// Connections have ended: requests are neither received nor answered.
   bool ConnectionsLost = false;
   Position Log{1, 10};
--- a/packages/engine/test/serverpace-test.cpp
+++ b/packages/engine/test/serverpace-test.cpp
@@ -8,13 +8,13 @@
 namespace {
 
 struct PaceFixture : EngineFixture {
-  /// Submits more reads than one server may run at once, each 10 ms for \p
-  /// Time. Returns how many of them server r1 has received.
-  std::size_t load(Duration Time) {
+  /// Submits reads each 10 ms for \p Time, more than one server may run at
+  /// once. Returns how many of them server r1 has received.
+  std::size_t load(Duration Time, int ReadsPerStep = 10) {
     std::size_t Before = received("r1");
     for (Instant Until = Now + Time; Now < Until;) {
-      for (int I = 0; I < 10; ++I) {
-        Opened.push_back(open("bounded"));
+      for (int I = 0; I < ReadsPerStep; ++I) {
+        Opened.push_back(open("bounded", Keys[Opened.size() % Keys.size()]));
         Opened.back()->submit(read(std::to_string(Opened.size())));
       }
       advance(10ms);
@@ -59,6 +59,7 @@
     SessionEngine->setServers(Entries, 1);
   }
 
+  std::vector<std::string> Keys = {""};
   std::vector<std::shared_ptr<Session>> Opened;
 };
 
@@ -85,6 +86,63 @@
   CHECK(F.errors() == 0);
 }
 
+// Guards against a server that is 7.5 times slower than the others and fails
+// nothing. Load: each proxy has more reads than one server runs at once.
+TEST_CASE("a slow server gets trials only") {
+  PaceFixture F;
+  F.SessionEngine->enablePace();
+  for (const char *Id : {"p", "r1", "r2"})
+    F.server(Id).AnswerTime = 20ms;
+  F.load(1s, 4);
+  F.server("r1").AnswerTime = 150ms;
+  F.load(1s, 4);
+  REQUIRE(F.Events.take().find("server-degraded") != std::string::npos);
+  std::size_t Trials = F.load(3s, 4);
+  CHECK(Trials >= 3);
+  CHECK(Trials <= 7);
+  F.server("r1").AnswerTime = 20ms;
+  F.load(3s, 4);
+  CHECK(F.Events.take().find("server-pace-ended") != std::string::npos);
+  CHECK(F.limitOf("r1") == "4");
+}
+
+// Guards against a degraded server without trials: the statement of a customer
+// runs only on a connection of that customer, and there may be none.
+TEST_CASE("a degraded server gets trials of customers") {
+  PaceFixture F;
+  F.SessionEngine->enablePace();
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Customers =
+      makeCustomerTable({{"north", {"kn"}, {}}, {"south", {"ks"}, {}}}).value();
+  REQUIRE(F.SessionEngine->applyConfig(Config));
+  F.Keys = {"kn", "ks"};
+  F.load(500ms);
+  F.failAll("r1");
+  F.load(1s);
+  REQUIRE(F.Events.take().find("server-degraded") != std::string::npos);
+  std::size_t Trials = F.load(3s);
+  CHECK(Trials >= 3);
+  CHECK(Trials <= 7);
+  F.server("r1").Answers.clear();
+  F.load(4s);
+  CHECK(F.Events.take().find("server-pace-ended") != std::string::npos);
+}
+
+// Guards against a service that loses its servers when all of them become slow
+// together.
+TEST_CASE("servers that become slow together go on as before") {
+  PaceFixture F;
+  F.SessionEngine->enablePace();
+  for (const char *Id : {"p", "r1", "r2"})
+    F.server(Id).AnswerTime = 20ms;
+  F.load(1s, 4);
+  for (const char *Id : {"p", "r1", "r2"})
+    F.server(Id).AnswerTime = 150ms;
+  F.load(3s, 4);
+  CHECK(F.Events.take().find("server-degraded") == std::string::npos);
+}
+
 // Guards against refusals of statements that only the degraded server can run.
 TEST_CASE("a degraded primary still runs writes") {
   PaceFixture F;
--- a/packages/kernel/test/placement-test.cpp
+++ b/packages/kernel/test/placement-test.cpp
@@ -59,6 +59,50 @@
   CHECK(chooseServer(Request, Servers, Instant(1s)));
 }
 
+// Guards against reads that overflow to a degraded server while a healthy one
+// is full for a moment, and against statements that nothing runs.
+TEST_CASE("a degraded server runs only what no other server can run") {
+  std::vector<ServerLoad> Servers = {server("p", true), server("r1", false),
+                                     server("r2", false)};
+  Servers[1].Degraded = true;
+  PlacementRequest Read;
+  Read.Required = Position{1, 10};
+  Read.TrialAllowed = true;
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 2U);
+  Servers[0].InFlight = Servers[2].InFlight = 1;
+  CHECK_FALSE(chooseServer(Read, Servers, Instant(1s)));
+  CHECK_FALSE(anyFree(Servers, Priority::Normal));
+  Servers[0].Unreachable = Servers[2].Unreachable = true;
+  CHECK(anyFree(Servers, Priority::Normal));
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 1U);
+  // A suspected server may be lost.
+  Servers[0].Unreachable = Servers[2].Unreachable = false;
+  Servers[0].Suspected = Servers[2].Suspected = true;
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 1U);
+  Servers[2].InFlight = 0;
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 2U);
+}
+
+// Guards against a degraded server that never gets a trial because others are
+// preferred, and against writes and retries as trials.
+TEST_CASE("a trial goes to the degraded server before others") {
+  std::vector<ServerLoad> Servers = {server("p", true), server("r1", false),
+                                     server("r2", false)};
+  Servers[1].Degraded = Servers[1].TrialDue = true;
+  PlacementRequest Read;
+  Read.Required = Position{1, 10};
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 2U);
+  Read.TrialAllowed = true;
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 1U);
+  // A statement does not wait for a handshake of a degraded server.
+  Servers[1].Connected = false;
+  CHECK(chooseServer(Read, Servers, Instant(1s)) == 2U);
+  Servers[1].Connected = true;
+  PlacementRequest Write;
+  Write.PrimaryOnly = true;
+  CHECK(chooseServer(Write, Servers, Instant(1s)) == 0U);
+}
+
 // Guards against background work that delays normal work on an overloaded
 // primary. The fault occurred when replicas were 3 s behind, so that the
 // primary served all reads of its group.
