Wire test: groups with customers and their keys

Cause: no test with real processes checked that servers are told the customer that holds the caller's key, that keys stay hidden, and that a removed key is used no more. Change: customerledger.h records who holds each key when. Group customers opens sessions with keys of unusual bytes, unknown keys, malformed STARTs and public routes; keys are removed, moved and added while sessions and transactions are open. The servers check the customer of each statement, and that no key arrives; answers and logs are searched for keys. customers-forwarded does the same with maxConns 3.

--- a/tests/wire/board.cpp
+++ b/tests/wire/board.cpp
@@ -11,9 +11,9 @@
 }
 
 bool keepsNothing(std::string_view Code) {
-  static constexpr std::array<std::string_view, 9> Codes = {
+  static constexpr std::array<std::string_view, 10> Codes = {
       "BUSY",    "ABORTED",   "LAGGING", "READONLY", "WRONGNODE",
-      "TOOMANY", "MALFORMED", "NODB",    "TOOBIG"};
+      "TOOMANY", "MALFORMED", "NODB",    "TOOBIG",   "NOAUTH"};
   return std::find(Codes.begin(), Codes.end(), Code) != Codes.end();
 }
 
@@ -74,7 +74,9 @@
 }
 
 void Board::checkSuccess(const Statement &S, const Answer &A) {
-  if (S.Wanted == Demand::PlannedError || S.Wanted == Demand::TooBig)
+  if (S.Wanted == Demand::PlannedError || S.Wanted == Demand::TooBig ||
+      S.Wanted == Demand::NotAuthorized || S.Wanted == Demand::Aborted ||
+      S.Wanted == Demand::Refused)
     fail(S.Id, "MIXED", "success instead of an error");
   if (!isData(S.Kind)) {
     if (!A.Rows.empty() || A.Signature != "-")
@@ -113,6 +115,18 @@
     if (!TooBig)
       fail(S.Id, "REFUSAL", Got);
     return;
+  case Demand::NotAuthorized:
+    if (A.Code != "NOAUTH")
+      fail(S.Id, "KEY", Got);
+    return;
+  case Demand::Aborted:
+    if (A.Code != "ABORTED")
+      fail(S.Id, "KEY", Got);
+    return;
+  case Demand::Refused:
+    if (!keepsNothing(*A.Code))
+      fail(S.Id, "KEY", Got);
+    return;
   case Demand::Any:
     return;
   }
--- a/tests/wire/board.h
+++ b/tests/wire/board.h
@@ -5,6 +5,7 @@
 #ifndef EELGRASSLOOM_WIRE_BOARD_H
 #define EELGRASSLOOM_WIRE_BOARD_H
 
+#include "customerledger.h"
 #include "protocol.h"
 #include <chrono>
 #include <map>
@@ -53,6 +54,12 @@
   /// Success or TOOBIG: the statement does not fit into one message together
   /// with what the proxy may add.
   SuccessOrTooBig,
+  /// NOAUTH: the key of the caller was removed long enough ago.
+  NotAuthorized,
+  /// ABORTED: the key passed to another customer during the transaction.
+  Aborted,
+  /// Any error that promises that nothing is kept.
+  Refused,
   Any,
 };
 
@@ -70,6 +77,10 @@
   std::map<std::string, std::string> Values;
   /// Unique for each transaction; 0 outside of transactions.
   unsigned Transaction = 0;
+  /// Key of the session.
+  std::string Key;
+  /// The caller waits until then before it sends the statement.
+  std::optional<Instant> NotBefore;
   AnswerPlan Plan;
   Demand Wanted = Demand::Success;
 
@@ -80,6 +91,8 @@
   /// The caller was told that nothing of it is kept.
   bool Refused = false;
   bool Succeeded = false;
+  /// The route is public: the server is told no customer.
+  bool Public = false;
 };
 using StatementRef = std::shared_ptr<Statement>;
 
@@ -107,6 +120,9 @@
     Asked = Succeeded = 0;
     Enabled = true;
   }
+  /// Customers of the run; none if no keys are checked.
+  soak::CustomerLedger Customers;
+
   std::size_t asked() const { return Asked; }
   std::size_t succeeded() const { return Succeeded; }
   std::size_t wrong() const { return Wrong.size(); }
--- a/tests/wire/caller.cpp
+++ b/tests/wire/caller.cpp
@@ -22,7 +22,12 @@
   }
   Current = std::move(Todo.Scripts.front());
   Todo.Scripts.pop_front();
-  connect();
+  Instant At = Current.StartAt.value_or(soak::now());
+  if (At <= soak::now())
+    connect();
+  else
+    runAfter(Loop, At - soak::now(),
+             [Self = shared_from_this()] { Self->connect(); });
 }
 
 void Caller::connect() {
@@ -42,7 +47,9 @@
     }
     Self->Socket.set_option(tcp::no_delay(true));
     Self->waitFor(AnswerTimeout);
-    Self->send("START " + Self->Current.Database + " u");
+    const Script &S = Self->Current;
+    std::string Key = S.Key.empty() ? "" : " " + S.Key;
+    Self->send(S.StartLine.empty() ? "START " + S.Database + Key : S.StartLine);
     Self->read();
   });
 }
@@ -97,6 +104,8 @@
   if (Started && !Pending)
     Todo.Checks.fail(Key, "MIXED",
                      "a line that answers nothing: " + printable(Line));
+  if (Line.find(soak::KeyMarker) != std::string::npos)
+    Todo.Checks.fail(Key, "KEY", "a key in the answer " + printable(Line));
   Answer A;
   switch (Reader.add(Line, A)) {
   case LineResult::Partial:
@@ -115,6 +124,12 @@
 void Caller::handleAnswer(const Answer &A) {
   if (!Started) {
     Started = true;
+    if (!Current.StartCode.empty()) {
+      Todo.Checks.fail(Current.Statements.front()->Id, "KEY",
+                       "a session started with the key " +
+                           printable(Current.Key));
+      Next = Current.Statements.size();
+    }
     sendNext();
     return;
   }
@@ -137,11 +152,27 @@
     waitFor(SilenceTime);
     return;
   }
+  const std::optional<Instant> &At = Current.Statements[Next]->NotBefore;
+  if (At && soak::now() < *At) {
+    Timer.expires_after(*At - soak::now());
+    Timer.async_wait([Self = shared_from_this()](error_code Error) {
+      if (!Error)
+        Self->sendNext();
+    });
+    return;
+  }
   Pending = Current.Statements[Next++];
   waitFor(AnswerTimeout);
   send("QUERY " + Pending->Id + " " + Pending->Text);
 }
 
+void Caller::checkRefusedStart() {
+  if (Reader.pendingCode() != Current.StartCode)
+    Todo.Checks.fail(Current.Statements.front()->Id, "KEY",
+                     "START with the key " + printable(Current.Key) +
+                         " is not answered " + Current.StartCode);
+}
+
 void Caller::handleLoss() {
   Timer.cancel();
   if (Pending && Reader.pendingCode() == "TOOBIG" &&
@@ -151,6 +182,8 @@
     Pending->Refused = true;
   if (Pending)
     Todo.Checks.checkNoAnswer(*Pending);
+  else if (!Started && !Current.StartCode.empty())
+    checkRefusedStart();
   else if (!Finishing)
     Todo.Checks.fail(Current.Statements.front()->Id, "NOANSWER",
                      "the session did not start");
--- a/tests/wire/caller.h
+++ b/tests/wire/caller.h
@@ -42,6 +42,8 @@
   void send(const std::string &Line);
   /// Handles the end of the connection or a timeout.
   void handleLoss();
+  /// Checks the error before the end of the connection.
+  void checkRefusedStart();
   void waitFor(Duration D);
 
   io_context &Loop;
--- a/tests/wire/cases.cpp
+++ b/tests/wire/cases.cpp
@@ -19,7 +19,7 @@
 /// Longest random field in bytes.
 constexpr std::size_t MaxRandomBytes = 24;
 
-constexpr std::array<CaseGroup, 10> Groups = {{
+constexpr std::array<CaseGroup, 12> Groups = {{
     {"changed-texts", buildTexts, ManyConnections, 100},
     {"changed-rows", buildRows, ManyConnections, 85},
     {"shifted-shapes", buildShapes, ManyConnections, 100},
@@ -30,6 +30,8 @@
     {"message-limits", buildLimits, ManyConnections, 50},
     {"large-answers", buildLargeAnswers, ManyConnections, 100},
     {"forwarded-bytes", buildForwarded, FewConnections, 90},
+    {"customers", buildCustomers, ManyConnections, 50, true},
+    {"customers-forwarded", buildCustomers, FewConnections, 30, true},
 }};
 
 /// Each byte of the answer alone, and any of rows, signature and error text
--- a/tests/wire/cases.h
+++ b/tests/wire/cases.h
@@ -23,6 +23,12 @@
   void add(ScriptWriter &Session) { Scripts.push_back(Session.take()); }
 
   unsigned Sessions = 0;
+  /// So many of the first sessions take long; each gets a caller of its own.
+  unsigned LongSessions = 0;
+  /// A server accepts few connections, so that statements may be refused.
+  bool FewConnections = false;
+  /// When the keys of the customers change.
+  Instant ChangeAt = {};
 };
 
 struct CaseGroup {
@@ -34,6 +40,8 @@
   unsigned MaxConnections;
   /// Percentage of the statements that must succeed.
   unsigned MinSucceeded;
+  /// Keys are checked, and change during the run.
+  bool HasCustomers = false;
 };
 
 std::span<const CaseGroup> caseGroups();
@@ -59,6 +67,14 @@
 void buildLargeAnswers(CaseContext &C);
 /// Bytes that are changed between two proxies.
 void buildForwarded(CaseContext &C);
+/// Statements that run as another customer than the holder of the caller's key,
+/// without a valid key or with a removed one; keys that become visible.
+void buildCustomers(CaseContext &C);
+
+/// Sets the customers at the start of the run.
+void setCustomers(CaseContext &C);
+/// Removes, moves and adds keys.
+void changeKeys(CaseContext &C);
 
 } // namespace eelgrassloom::wiretest
 
--- a/tests/wire/script.cpp
+++ b/tests/wire/script.cpp
@@ -27,6 +27,9 @@
   New->Values = Values;
   New->Transaction = Transaction;
   New->Wanted = Wanted;
+  New->Key = S.Key;
+  New->Public = Public;
+  New->NotBefore = NotBefore;
   if (isData(Kind))
     New->Plan = std::move(Plan);
   Plan = AnswerPlan();
--- a/tests/wire/script.h
+++ b/tests/wire/script.h
@@ -14,6 +14,14 @@
   /// Index of the proxy.
   std::size_t Proxy = 0;
   std::string Database = "latest";
+  /// START has no key if it is empty.
+  std::string Key = "u";
+  /// Sent in place of the START line that database and key give.
+  std::string StartLine = {};
+  /// The caller waits until then before it connects.
+  std::optional<Instant> StartAt = {};
+  /// START must be answered with this error. Empty: the session must start.
+  std::string StartCode = {};
   std::vector<StatementRef> Statements;
   /// The two bytes of each line end are sent separately.
   bool SplitsLineEnd = false;
@@ -25,6 +33,15 @@
 public:
   ScriptWriter(Board &Checks, std::size_t Proxy, std::string Database);
 
+  void useKey(std::string Key) { S.Key = std::move(Key); }
+  /// The server is told no customer.
+  void usePublicRoute() { Public = true; }
+  /// Sends the next statements no earlier.
+  void waitUntil(Instant At) { NotBefore = At; }
+  void startAt(Instant At) { S.StartAt = At; }
+  void sendStart(std::string Line) { S.StartLine = std::move(Line); }
+  void demandStartCode(std::string Code) { S.StartCode = std::move(Code); }
+
   /// The next id starts with \p Prefix.
   void useId(std::string Prefix) { IdPrefix = std::move(Prefix); }
   void plan(AnswerPlan Next) { Plan = std::move(Next); }
@@ -54,6 +71,8 @@
   /// Whether it writes, and the shape, by name.
   std::map<std::string, std::pair<bool, std::string>> Prepared;
   unsigned Transaction = 0;
+  bool Public = false;
+  std::optional<Instant> NotBefore;
 };
 
 } // namespace eelgrassloom::wiretest
--- a/tests/wire/serverconnection.cpp
+++ b/tests/wire/serverconnection.cpp
@@ -57,6 +57,8 @@
 }
 
 void ServerConnection::run(const std::string &Line) {
+  if (Line.find(soak::KeyMarker) != std::string::npos)
+    Parent.Checks.fail(Line, "KEY", "a server got a key");
   std::string_view Rest = Line;
   std::string_view Word = takeField(Rest);
   if (Line.size() > MaxLineBytes) {
@@ -178,6 +180,7 @@
   }
   checkText(S, Text);
   checkSession(S);
+  checkCustomer(S);
   if (!isData(S.Kind)) {
     runOwn(Text);
     return;
@@ -239,6 +242,19 @@
     Transaction = S.Transaction;
 }
 
+void ServerConnection::checkCustomer(const Statement &S) {
+  const soak::CustomerLedger &Customers = Parent.Checks.Customers;
+  if (Customers.Customers.empty())
+    return;
+  std::string Problem;
+  if (!S.Public)
+    Problem = Customers.problem(S.Key, ClientName, soak::now());
+  else if (Customers.isCustomer(ClientName))
+    Problem = "runs as " + ClientName + " for a public route";
+  if (!Problem.empty())
+    Parent.Checks.fail(S.Id, "KEY", Problem);
+}
+
 void ServerConnection::applyWrites(const StatementRef &S) {
   Pending.push_back(S);
   if (!InTransaction)
--- a/tests/wire/serverconnection.h
+++ b/tests/wire/serverconnection.h
@@ -33,6 +33,9 @@
   /// Fails a check if the statement runs in the wrong transaction or with wrong
   /// values of the session.
   void checkSession(const Statement &S);
+  /// Fails a check if the connection belongs to another customer than the one
+  /// that holds the key of the caller.
+  void checkCustomer(const Statement &S);
   void answerData(Statement &S);
   void applyWrites(const StatementRef &S);
   void commit();
@@ -51,6 +54,7 @@
   LineReader Input;
   std::deque<std::string> Lines;
   bool Busy = false;
+  /// Customer, or name of the proxy, from START.
   std::string ClientName;
   std::map<std::string, std::string> Values;
   std::map<std::string, PreparedStatement> Prepared;
--- a/tests/wire/wire-test.cpp
+++ b/tests/wire/wire-test.cpp
@@ -25,6 +25,10 @@
 
 constexpr std::size_t ProxyCount = 2;
 constexpr std::size_t CallerCount = 12;
+/// With fewer connections, one proxy runs the statements of both.
+constexpr unsigned ManyConnections = 30;
+/// Time after the start of the callers at which keys change.
+constexpr Duration ChangeDelay = 2s;
 /// Time in which the proxies have to serve the first read and write.
 constexpr Duration StartTime = 20s;
 constexpr Duration WarmUpPause = 100ms;
@@ -51,6 +55,8 @@
 
 private:
   void publish();
+  void changeKeys();
+  void checkLogs();
   void startProxy(std::size_t Index);
   void warmUp(Instant Until);
   void expireLeases();
@@ -72,6 +78,7 @@
   Work Todo{Checks, {}, {}};
   std::size_t Running = 0;
   bool Finished = false;
+  unsigned ConfigVersion = 1;
 };
 
 Run::Run(std::string ProgramPath, std::uint64_t Seed, const CaseGroup &Group)
@@ -83,6 +90,9 @@
           std::filesystem::temp_directory_path() /
           ("wire-" + std::to_string(getpid()) + "-" + std::string(Group.Name))),
       Context{Checks, Shared, std::mt19937_64(Seed), {}} {
+  Context.FewConnections = Group.MaxConnections < ManyConnections;
+  if (Group.HasCustomers)
+    setCustomers(Context);
   std::filesystem::create_directories(Directory);
 }
 
@@ -96,21 +106,30 @@
 
 void Run::publish() {
   std::string Routes;
-  auto Add = [&](const std::string &Name, const char *Type, int Bound) {
+  auto Add = [&](const std::string &Name, const char *Type, int Bound,
+                 bool Public = false) {
     Routes +=
         std::string(Routes.empty() ? "" : ",") + R"({"name":"r","host":")" +
         Name + R"(","type":")" + Type +
         R"(","timeoutMs":5000,"goalMs":5000,"priority":1,"service":"svc",)" +
-        R"("maxStalenessMs":)" + std::to_string(Bound) + "}";
+        R"("maxStalenessMs":)" + std::to_string(Bound) +
+        (Public ? R"(,"public":true})" : "}");
   };
   Add("latest", "primary", 0);
   Add("session", "read_your_writes", 2500);
   Add("bounded", "bounded_staleness", 1500);
-  Store.put("op/config",
-            R"({"version":1,"routes":[)" + Routes +
-                R"(],"services":[{"name":"svc","maxConns":)" +
-                std::to_string(Group.MaxConnections) +
-                R"(,"syncReplicas":0}],"limits":{"txIdleMs":5000}})");
+  std::string Customers;
+  if (Group.HasCustomers) {
+    Add("public", "primary", 0, true);
+    Customers = R"("tenants":)" + Checks.Customers.json() + ",";
+  }
+  Checks.Customers.acknowledge(soak::now());
+  Store.put("op/config", R"({"version":)" + std::to_string(ConfigVersion) +
+                             "," + Customers + R"("routes":[)" + Routes +
+                             R"(],"services":[{"name":"svc","maxConns":)" +
+                             std::to_string(Group.MaxConnections) +
+                             R"(,"syncReplicas":0}],"limits":{"txIdleMs":)" +
+                             (Group.HasCustomers ? "20000" : "5000") + "}}");
   Store.put("servers/i-a", Primary.entry());
   Store.put("servers/i-b", Replica.entry());
 }
@@ -129,6 +148,9 @@
       << "\nportRange=" << FreePorts.next()
       << ",0\nplatform.addr=" << StoreAddress << "\ncloud.addr=" << StoreAddress
       << "\nbounds.graceS=4\nbounds.configApplyMs=3000\n";
+  if (Group.HasCustomers)
+    std::ofstream(P.Settings, std::ios::app)
+        << "zones.z=nord\nbounds.quotaSlack=20\n";
   std::string Setting = "EELGRASSLOOM_SETTINGS=" + P.Settings.string();
   std::array<char *, 2> Argv = {Program.data(), nullptr};
   std::array<char *, 2> Envp = {Setting.data(), nullptr};
@@ -154,7 +176,9 @@
 void Run::warmUp(Instant Until) {
   std::size_t Before = Checks.succeeded();
   for (std::size_t I = 0; I < ProxyCount; ++I) {
-    ScriptWriter S(Checks, I, "latest");
+    ScriptWriter S(Checks, I, Group.HasCustomers ? "public" : "latest");
+    if (Group.HasCustomers)
+      S.usePublicRoute();
     S.demand(Demand::Any);
     S.write("warm-up", "data");
     Todo.Scripts.push_back(S.take());
@@ -176,10 +200,13 @@
 void Run::startCallers() {
   Checks.enable();
   Shared.Senders.clear();
+  Context.ChangeAt = soak::now() + ChangeDelay;
   Group.Build(Context);
+  if (Group.HasCustomers)
+    runAfter(Loop, ChangeDelay, [this] { changeKeys(); });
   Todo.Scripts = std::move(Context.Scripts);
-  Running = CallerCount;
-  for (std::size_t I = 0; I < CallerCount; ++I)
+  Running = CallerCount + Context.LongSessions;
+  for (std::size_t I = Running; I > 0; --I)
     std::make_shared<Caller>(Loop, Todo, [this] {
       if (--Running != 0)
         return;
@@ -199,8 +226,25 @@
   return report();
 }
 
+void Run::changeKeys() {
+  wiretest::changeKeys(Context);
+  ++ConfigVersion;
+  publish();
+}
+
+/// Finds log lines that contain a key.
+void Run::checkLogs() {
+  for (const Proxy &P : Proxies) {
+    std::ifstream Log(P.Log);
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find(soak::KeyMarker) != std::string::npos)
+        Checks.fail(P.Log, "KEY", "a key in a log line: " + Line);
+  }
+}
+
 bool Run::report() {
   Checks.checkWrites();
+  checkLogs();
   if (!Finished)
     Checks.fail("run", "NOANSWER", "the callers did not finish in time");
   if (Checks.succeeded() * 100 < Checks.asked() * Group.MinSucceeded)
