Soak: keys and limits of customers while other faults happen

Cause: nothing checked with real processes that customers are told apart, that removed keys are used no more and that limits hold over all proxies while proxies, servers and the store fail. Change: the mode customers runs the random faults with four customers in three failure domains; versions of the configuration add, remove and move keys. Servers check the customer of each statement, callers the answer to START at proxies without faults, and the operations of each customer are counted in sliding windows of 5 s. Planted faults: wrong-customer, low-limit, kept-key.

--- a/tests/soak/callers.cpp
+++ b/tests/soak/callers.cpp
@@ -18,8 +18,9 @@
 constexpr unsigned BusyCallerInterval = 6;
 /// Whether the error code guarantees that the attempt had no effect.
 bool isDefiniteFailure(std::string_view Code) {
-  static constexpr std::array<std::string_view, 6> Codes = {
-      "BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "TOOMANY"};
+  static constexpr std::array<std::string_view, 7> Codes = {
+      "BUSY",      "ABORTED", "LAGGING", "READONLY",
+      "WRONGNODE", "TOOMANY", "NOAUTH"};
   return std::find(Codes.begin(), Codes.end(), Code) != Codes.end();
 }
 
@@ -39,6 +40,8 @@
   static constexpr std::array<const char *, 3> Databases = {"latest", "session",
                                                             "bounded"};
   Database = Databases[Random() % Databases.size()];
+  if (!TestOracle.Customers.Customers.empty())
+    Key = TestOracle.Customers.pick(Random);
   Started = false;
   Pending.reset();
   Requests.clear();
@@ -56,7 +59,8 @@
       runAfter(Self->Loop, 10 * RequestPause, [Self] { Self->connect(); });
       return;
     }
-    Self->Output = "START " + Self->Database + " u\r\n";
+    Self->Output = "START " + Self->Database + " " + Self->Key + "\r\n";
+    Self->SentAt = now();
     error_code Ignored; // A broken socket also fails the caller's read.
     platform::asio::write(Self->Socket, platform::asio::buffer(Self->Output),
                           Ignored);
@@ -119,6 +123,8 @@
 
 void Caller::handleDisconnect() {
   Timer.cancel();
+  if (!Started && Answers.pendingCode() == "NOAUTH")
+    checkStart(false);
   auto Stop = TestOracle.StopRequestedAt.find(Port);
   if (Pending && Stop != TestOracle.StopRequestedAt.end())
     recordLoss(*Pending, Stop->second);
@@ -129,6 +135,21 @@
            [Self = shared_from_this()] { Self->connect(); });
 }
 
+void Caller::checkStart(bool Accepted) {
+  const CustomerLedger &Customers = TestOracle.Customers;
+  if (Customers.Customers.empty())
+    return;
+  TestOracle.RefusedKeys += Accepted ? 0 : 1;
+  bool Wrong = Accepted ? Customers.allowed(Key, SentAt).empty()
+                        : !Customers.holder(Key, SentAt).empty();
+  if (Wrong && TestOracle.MustKnowConfig(Port))
+    TestOracle.Violations.push_back({"KEY",
+                                     Key +
+                                         (Accepted ? " accepted" : " refused") +
+                                         " at port " + std::to_string(Port),
+                                     0});
+}
+
 void Caller::sendNext() {
   Pending = Requests.front();
   Requests.pop_front();
@@ -143,7 +164,7 @@
 }
 
 void Caller::recordSent(const Request &R) {
-  SentStatement S{R.Text, std::nullopt, SessionValues};
+  SentStatement S{R.Text, std::nullopt, SessionValues, Key, Operation};
   if (!R.Arguments.empty()) {
     S.Text = R.Arguments;
     S.Prepared = R.Prepared;
@@ -166,6 +187,7 @@
 void Caller::handleReply(const wiretest::Answer &Reply) {
   if (!Started) {
     Started = true;
+    checkStart(true);
     nextOperation();
     return;
   }
@@ -197,7 +219,16 @@
     if (Reply.State != 'I')
       Requests.push_back(control("ROLLBACK"));
   }
-  Duration Pause = Number % BusyCallerInterval == 0 ? 0ms : RequestPause;
+  if (Reply.Code == "NOAUTH") {
+    ++TestOracle.RefusedKeys;
+    error_code Ignored; // The next session uses another key.
+    Socket.close(Ignored);
+    return;
+  }
+  // A caller that is refused by a limit must not send all the time.
+  bool Busy = Number % BusyCallerInterval == 0 &&
+              (!Reply.Code || TestOracle.Customers.Customers.empty());
+  Duration Pause = Busy ? 0ms : RequestPause;
   runAfter(Loop, Pause, [Self = shared_from_this()] {
     if (!Self->Socket.is_open() || Self->Pending)
       return;
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -68,6 +68,8 @@
   /// Finds answers that no server has sent for \p R.
   void checkAnswer(const Request &R, const wiretest::Answer &Reply);
   void sendNext();
+  /// Finds KEY violations in the answer to START.
+  void checkStart(bool Accepted);
   void read();
   void handleReply(const wiretest::Answer &Reply);
   /// Handles an error without a request, which announces the end of the
@@ -97,6 +99,9 @@
   std::array<char, 4096> Input{};
   std::string Output;
   std::string Database;
+  std::string Key = "u";
+  /// See SentStatement::Operation.
+  std::uint64_t Operation = 0;
   std::map<std::string, std::string> SessionValues;
   /// Acknowledged prepared statements by name.
   std::map<std::string, PreparedStatement> Prepared;
--- a/tests/soak/connection.cpp
+++ b/tests/soak/connection.cpp
@@ -46,9 +46,14 @@
 void Connection::processLines() {
   while (auto Line = Input.next()) {
     std::string_view Rest = *Line;
-    if (wiretest::takeField(Rest) == "QUERY")
-      Parent->TestOracle.Received[std::string(wiretest::takeField(Rest))] =
-          ClientName;
+    if (wiretest::takeField(Rest) == "QUERY") {
+      std::string Id(wiretest::takeField(Rest));
+      Parent->TestOracle.Received[Id] = ClientName;
+      checkCustomer(Id);
+    }
+    if (Line->find(KeyMarker) != std::string::npos)
+      Parent->TestOracle.Violations.push_back(
+          {"KEY", "at a server: " + wiretest::printable(*Line), 0});
     runAfter(Parent->Loop, Parent->StatementTime,
              [Self = shared_from_this(), Line = *Line] {
                if (Self->Parent->Up && Self->Socket.is_open())
@@ -145,6 +150,8 @@
 void Connection::start(std::string_view Rest) {
   wiretest::takeField(Rest);
   ClientName = wiretest::takeField(Rest);
+  if (Parent->TestOracle.Planted == PlantedFault::Customer)
+    ClientName += "x";
   if (Rest != Parent->Id)
     send("ERR WRONGNODE -\r\n");
   else
@@ -231,6 +238,20 @@
     sendError("MALFORMED");
 }
 
+void Connection::checkCustomer(const std::string &Id) {
+  Oracle &O = Parent->TestOracle;
+  auto It = O.Statements.find(Id);
+  if (O.Customers.Customers.empty() || It == O.Statements.end())
+    return;
+  const SentStatement &S = It->second;
+  std::string Problem = O.Customers.problem(S.Key, ClientName, now());
+  if (!Problem.empty())
+    O.Violations.push_back(
+        {"KEY", wiretest::printable(Id) + " with " + S.Key + " " + Problem, 0});
+  if (O.ReachedOperations.insert(S.Operation).second)
+    O.OperationTimes[ClientName].push_back(now());
+}
+
 bool Connection::checkStatement(const std::string &Id, std::string_view Text,
                                 const std::string &Name) {
   Oracle &O = Parent->TestOracle;
--- a/tests/soak/connection.h
+++ b/tests/soak/connection.h
@@ -36,6 +36,9 @@
   void runOwn(std::string_view Text);
   void begin(bool ReadOnly);
   void runStatement(const std::string &Id, std::string_view Text);
+  /// Records a violation if the connection belongs to another customer than
+  /// the arriving statement, and counts its operation.
+  void checkCustomer(const std::string &Id);
   /// Records a violation if the statement differs from what its caller has
   /// sent. \p Name is the prepared statement that runs it, or empty.
   bool checkStatement(const std::string &Id, std::string_view Text,
@@ -51,7 +54,7 @@
   tcp::socket Socket;
   std::array<char, 4096> Buffer{};
   wiretest::LineReader Input;
-  /// Name of the proxy, from its START.
+  /// Customer, or name of the proxy, from START.
   std::string ClientName;
   /// Values that SET has stored.
   std::map<std::string, std::string> SessionValues;
--- a/tests/soak/operations.cpp
+++ b/tests/soak/operations.cpp
@@ -46,6 +46,7 @@
     return;
   }
   OperationStart = now();
+  Operation = TestOracle.NextOperation++;
   Requests.clear();
   UncommittedValues.clear();
   bool Writes = Database != "bounded";
--- a/tests/soak/oracle.h
+++ b/tests/soak/oracle.h
@@ -5,7 +5,7 @@
 #ifndef EELGRASSLOOM_SOAK_ORACLE_H
 #define EELGRASSLOOM_SOAK_ORACLE_H
 
-#include "timers.h"
+#include "customerledger.h"
 #include <map>
 #include <random>
 #include <set>
@@ -25,6 +25,10 @@
   Texts,
   /// Servers confirm a value of the session without storing it.
   Values,
+  /// Servers take each customer for another one.
+  Customer,
+  /// The checks know a lower limit of each customer than the proxies.
+  Limit,
 };
 
 /// Unique in a run; 0 stands for no commit.
@@ -55,6 +59,11 @@
   /// - TWICE: a write is applied more than once.
   /// - REFUSED: a write that was reported as failed takes effect.
   /// - CONFIG: a proxy applies a change of the configuration too late.
+  /// - KEY: a statement runs as another customer than the holder of its
+  ///   caller's key, or later than 5 s after the key was removed; or a healthy
+  ///   proxy accepts an unknown key or refuses a valid one.
+  /// - LIMIT: more operations of a customer reach servers than its limit
+  /// allows.
   /// - LOST: a proxy that stops in order ends a connection without an answer
   ///   to a request that the caller has sent on it.
   /// - CRASH: a proxy is ended by a signal other than SIGKILL.
@@ -90,6 +99,9 @@
   /// EXEC: the prepared statement.
   std::optional<PreparedStatement> Prepared;
   std::map<std::string, std::string> SessionValues;
+  std::string Key = {};
+  /// Unique for each statement outside of transactions and each transaction.
+  std::uint64_t Operation = 0;
 };
 
 /// An answer of a server to a statement of a caller.
@@ -138,6 +150,17 @@
   /// Proxies that were told to stop, also after other faults, by the port for
   /// callers.
   std::set<std::uint16_t> ToldToStop;
+  /// Customers of the run; none if no keys are checked.
+  CustomerLedger Customers;
+  /// Whether the proxy with this port for callers must have applied all changes
+  /// of the configuration that are old enough.
+  std::function<bool(std::uint16_t Port)> MustKnowConfig;
+  /// When operations of each customer reached a server first.
+  std::map<std::string, std::vector<Instant>> OperationTimes;
+  /// Operations that have reached a server.
+  std::unordered_set<std::uint64_t> ReachedOperations;
+  std::uint64_t NextOperation = 1;
+  std::uint64_t RefusedKeys = 0;
   std::vector<Violation> Violations;
   std::uint64_t NextCommit = 1;
   std::uint64_t NextSignature = 1;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -4,7 +4,8 @@
 /// soak PROGRAM SEED [SECONDS [PROXIES [FAULT]]], where FAULT is an injected
 /// fault that the checks must report (promotion, rules, rows, texts, values),
 /// or takes the place of the random faults: stops, orderly stops of one proxy
-/// after the other.
+/// after the other. With customers, the random faults come while keys of
+/// customers change (planted faults: wrong-customer, low-limit, kept-key).
 
 #include "soak.h"
 #include <algorithm>
@@ -42,6 +43,15 @@
 constexpr unsigned FewSlots = 2;
 /// Failure domains of the proxies during orderly stops.
 constexpr std::size_t FailureDomains = 4;
+/// The same with customers, whose limits are shared out to failure domains.
+constexpr std::size_t CustomerDomains = 3;
+/// The rule for limits: in each window, a customer may run its rate and burst
+/// plus a share and a number of operations. The settings contain the number.
+constexpr Duration LimitWindow = 5s;
+constexpr double LimitExcess = 0.1;
+constexpr double LimitSlack = 20;
+/// Share of the limit that the checks know if they are to report it.
+constexpr double PlantedLimitShare = 0.2;
 
 PlantedFault plantedFault(InjectedFault F) {
   switch (F) {
@@ -51,6 +61,10 @@
     return PlantedFault::Texts;
   case InjectedFault::Values:
     return PlantedFault::Values;
+  case InjectedFault::WrongCustomer:
+    return PlantedFault::Customer;
+  case InjectedFault::LowLimit:
+    return PlantedFault::Limit;
   default:
     return PlantedFault::None;
   }
@@ -70,6 +84,11 @@
     return "UNASKED";
   case InjectedFault::Values:
     return "PINNED";
+  case InjectedFault::WrongCustomer:
+  case InjectedFault::KeptKey:
+    return "KEY";
+  case InjectedFault::LowLimit:
+    return "LIMIT";
   default:
     return {};
   }
@@ -79,22 +98,25 @@
 
 void Soak::publishConfig() {
   std::string Routes;
-  auto Add = [&](const std::string &Name, const char *Type, int Bound) {
+  auto Add = [&](const std::string &Name, const char *Type, int Bound,
+                 bool Public = false) {
     Routes +=
         std::string(Routes.empty() ? "" : ",") + R"({"name":"r","host":")" +
         Name + R"(","type":")" + Type +
         R"(","timeoutMs":1500,"goalMs":300,"priority":1,"service":"svc",)" +
-        R"("maxStalenessMs":)" + std::to_string(Bound) + "}";
+        R"("maxStalenessMs":)" + std::to_string(Bound) +
+        (Public ? R"(,"public":true})" : "}");
   };
   Add("latest", "primary", 0);
   Add("session", "read_your_writes", 2500);
   Add("bounded", "bounded_staleness", 1500);
   for (const std::string &Name : ProbedDatabases.current())
-    Add(Name, "primary", 0);
+    Add(Name, "primary", 0, true); // Probes have no key.
   Store.put(
       "op/config",
-      "{\"version\":" + std::to_string(ConfigVersion) + ",\"routes\":[" +
-          Routes +
+      "{\"version\":" + std::to_string(ConfigVersion) +
+          (usesCustomers() ? ",\"tenants\":" + PublishedCustomers : "") +
+          ",\"routes\":[" + Routes +
           R"(],"services":[{"name":"svc","maxConns":40,"syncReplicas":0}],)" +
           R"("limits":{"txIdleMs":3000}})");
 }
@@ -104,6 +126,12 @@
     return;
   ++ConfigVersion;
   ProbedDatabases.add(now());
+  if (usesCustomers()) {
+    TestOracle.Customers.change(Random);
+    TestOracle.Customers.acknowledge(now());
+    if (Injected != InjectedFault::KeptKey)
+      PublishedCustomers = TestOracle.Customers.json();
+  }
   if (Injected != InjectedFault::Config)
     publishConfig();
   runAfter(Loop, std::chrono::milliseconds(200 + Random() % 1500),
@@ -162,9 +190,60 @@
 }
 
 std::string Soak::failureDomain(std::size_t Index) const {
+  if (usesCustomers())
+    return "z" + std::to_string(Index % CustomerDomains);
   return usesOwners() ? "z" + std::to_string(Index % FailureDomains) : "z";
 }
 
+/// Two customers that reach their limits, one that hardly does and one that has
+/// none.
+void Soak::setCustomers() {
+  CustomerLedger &Ledger = TestOracle.Customers;
+  Ledger.Customers = {{"small", {}, 5, 5},
+                      {"medium", {}, 25, 15},
+                      {"large", {}, 150, 60},
+                      {"unlimited", {}, 0, 0}};
+  for (TestCustomer &C : Ledger.Customers)
+    C.Keys.push_back(std::string(KeyMarker) + " of " + C.Name);
+  Ledger.acknowledge(now());
+  PublishedCustomers = Ledger.json();
+  TestOracle.MustKnowConfig = [this](std::uint16_t Port) {
+    return now() - StoreHealthySince >= RecoveryTime &&
+           std::any_of(Proxies.begin(), Proxies.end(), [&](const Proxy &P) {
+             return P.CallerPort == Port && isHealthy(P);
+           });
+  };
+}
+
+void Soak::checkLimits() {
+  for (const TestCustomer &C : TestOracle.Customers.Customers) {
+    double Share = Injected == InjectedFault::LowLimit ? PlantedLimitShare : 1;
+    double Limit =
+        Share *
+        ((C.RatePerSecond * 5.0 + C.Burst) * (1 + LimitExcess) + LimitSlack);
+    const std::vector<Instant> &Times = TestOracle.OperationTimes[C.Name];
+    std::size_t Most = 0;
+    Instant MostAt = StartedAt;
+    for (std::size_t Begin = 0, End = 0; End < Times.size(); ++End) {
+      while (Times[End] - Times[Begin] > LimitWindow)
+        ++Begin;
+      if (End + 1 - Begin > Most) {
+        Most = End + 1 - Begin;
+        MostAt = Times[End];
+      }
+    }
+    std::printf("customer %s: %zu operations, at most %zu in a window\n",
+                C.Name.c_str(), Times.size(), Most);
+    if (C.RatePerSecond != 0 && static_cast<double>(Most) > Limit)
+      TestOracle.Violations.push_back(
+          {"LIMIT",
+           C.Name + ": " + std::to_string(Most) +
+               " operations in the window to " +
+               std::to_string(toMillis(MostAt - StartedAt)) + " ms",
+           0});
+  }
+}
+
 void Soak::prepare() {
   publishConfig();
   for (std::size_t I = 0; I < Proxies.size(); ++I) {
@@ -182,6 +261,10 @@
         << ",0\nplatform.addr=" << StoreAddress
         << "\ncloud.addr=" << StoreAddress
         << "\nbounds.graceS=4\nbounds.configApplyMs=3000\n";
+    for (std::size_t D = 0; usesCustomers() && D < CustomerDomains; ++D)
+      std::ofstream(P.Settings, std::ios::app)
+          << "zones.z" << D << "=nord\n"
+          << (D == 0 ? "bounds.quotaSlack=20\n" : "");
   }
 }
 
@@ -269,6 +352,8 @@
   if (usesOwners())
     for (const ServerRef &S : Group.Members)
       S->Slots = FewSlots;
+  if (usesCustomers())
+    setCustomers();
   prepare();
   for (Proxy &P : Proxies)
     startProxy(P);
@@ -286,7 +371,8 @@
     FaultsEnabled = Injected != InjectedFault::Promotion;
     if (Injected == InjectedFault::Promotion)
       Group.promote("i-b");
-    if (Injected == InjectedFault::None) {
+    if (Injected == InjectedFault::None ||
+        Injected == InjectedFault::Customers) {
       injectFault();
       repeatAnswers();
     }
@@ -318,6 +404,10 @@
 }
 
 int Soak::report() {
+  checkLimits();
+  if (usesCustomers())
+    std::printf("%llu keys refused\n",
+                static_cast<unsigned long long>(TestOracle.RefusedKeys));
   for (const std::string &Problem : Store.Problems)
     TestOracle.Violations.push_back({Problem, "", 0});
   auto Remaining = TestOracle.remainingViolations();
@@ -334,8 +424,9 @@
   for (std::size_t I = 0; I < Remaining.size() && I < 20; ++I)
     std::printf("  %s %s\n", Remaining[I].Kind.c_str(),
                 Remaining[I].Text.c_str());
-  bool MustReport =
-      Injected != InjectedFault::None && Injected != InjectedFault::Stops;
+  bool MustReport = Injected != InjectedFault::None &&
+                    Injected != InjectedFault::Stops &&
+                    Injected != InjectedFault::Customers;
   std::string_view Kind = reportedKind(Injected);
   bool Reported =
       std::any_of(Remaining.begin(), Remaining.end(), [&](const Violation &V) {
@@ -357,7 +448,8 @@
   if (Argc < 3) {
     std::fprintf(stderr,
                  "usage: %s PROGRAM SEED [SECONDS [PROXIES "
-                 "[promotion|rules|stops|rows|texts|values]]]\n",
+                 "[promotion|rules|stops|rows|texts|values|customers|"
+                 "wrong-customer|low-limit|kept-key]]]\n",
                  Argv[0]);
     return 2;
   }
@@ -370,8 +462,8 @@
   if (Name == InjectedFaultNames.end()) {
     std::fprintf(
         stderr,
-        "the injected fault must be promotion, rules, stops, rows, texts or "
-        "values\n");
+        "the injected fault must be promotion, rules, stops, rows, texts, "
+        "values, customers, wrong-customer, low-limit or kept-key\n");
     return 2;
   }
   if (Seconds <= 0 || Count <= 0) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,8 +18,10 @@
 /// Faults that replace the random ones. Promotion (outside the promotion call)
 /// and Config (a configuration that is changed but not stored) can't be
 /// prevented by proxies and show that the checks report them. Stops are planned
-/// work: orderly stops of one proxy after the other. The others are faults of
-/// the stand-ins, see PlantedFault.
+/// work: orderly stops of one proxy after the other. Customers are random
+/// faults while keys of customers change. KeptKey (keys are not removed
+/// although the checks are told so) and the others are faults of the stand-ins
+/// and checks, see PlantedFault.
 enum class InjectedFault : std::uint8_t {
   None,
   Promotion,
@@ -28,9 +30,14 @@
   Rows,
   Texts,
   Values,
+  Customers,
+  WrongCustomer,
+  LowLimit,
+  KeptKey,
 };
-constexpr std::array<std::string_view, 7> InjectedFaultNames = {
-    "none", "promotion", "rules", "stops", "rows", "texts", "values"};
+constexpr std::array<std::string_view, 11> InjectedFaultNames = {
+    "none",   "promotion", "rules",          "stops",     "rows",    "texts",
+    "values", "customers", "wrong-customer", "low-limit", "kept-key"};
 
 /// One proxy process. Signals are sent only to its own process id.
 struct Proxy {
@@ -66,6 +73,10 @@
 
 private:
   bool usesOwners() const;
+  bool usesCustomers() const { return Injected >= InjectedFault::Customers; }
+  void setCustomers();
+  /// Finds LIMIT violations.
+  void checkLimits();
   std::string failureDomain(std::size_t Index) const;
   void prepare();
   void startProxy(Proxy &P);
@@ -112,6 +123,8 @@
   ProbeRoutes ProbedDatabases;
   std::uint64_t Probes = 0;
   unsigned ConfigVersion = 1;
+  /// The list of customers in the configuration, as JSON.
+  std::string PublishedCustomers;
   bool FaultsEnabled = false;
 };
 
