Findings of clang-tidy in files of the queue and its tests

Cause: scripts/tidy.sh reported padding in Job and two vectors that grow in a loop; all three were there before. Change: Job::HoldsPermit stands beside another bool; the vectors reserve their size.

--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -71,15 +71,15 @@
   /// The statement is the caller's COMMIT. Its kind is FirstInTransaction if no
   /// statement has begun the transaction on a server yet.
   bool EndsTransaction = false;
+  /// The operation that the statement begins has used a permission of the
+  /// customer's limit.
+  bool HoldsPermit = false;
   SessionId Session = 0;
   /// Customer that the statement belongs to; empty: none. It runs only on
   /// connections of this customer.
   CustomerId Customer;
   /// Hash of the key by which the caller was identified.
   std::uint64_t KeyHash = 0;
-  /// The operation that the statement begins has used a permission of the
-  /// customer's limit.
-  bool HoldsPermit = false;
   const SessionState *State = nullptr;
   std::optional<PreparedStatement> Prepared;
   RouteConfig Route;
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -100,6 +100,7 @@
   EngineFixture F;
   std::vector<CustomerConfig> Customers;
   constexpr int Count = 30;
+  Customers.reserve(Count);
   for (int I = 0; I < Count; ++I)
     Customers.push_back(
         {"c" + std::to_string(I), {"k" + std::to_string(I)}, {}});
--- a/packages/kernel/test/connectioncache-test.cpp
+++ b/packages/kernel/test/connectioncache-test.cpp
@@ -77,6 +77,7 @@
 // of customers that come once.
 TEST_CASE("customers with most of the load keep their connections") {
   std::vector<double> Weights;
+  Weights.reserve(87);
   for (int I = 0; I < 87; ++I)
     Weights.push_back(1.0 / (1 + I));
   std::mt19937 Random(1);
