--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -71,6 +71,9 @@
   /// The statement is the caller's COMMIT. Its kind is FirstInTransaction if no
   /// statement has begun the transaction on a server yet.
   bool EndsTransaction = false;
+  /// The operation that the statement begins has used a permission of the
+  /// customer's limit.
+  bool HoldsPermit = false;
   SessionId Session = 0;
   /// Customer that the statement belongs to; empty: none. It runs only on
   /// connections of this customer.
@@ -136,9 +139,6 @@
   bool Finished = false;
   /// It is in the queue of the group.
   bool Waiting = false;
-  /// The operation that the statement begins has used a permission of the
-  /// customer's limit.
-  bool HoldsPermit = false;
   /// It leaves no room in a message for the position that a replica must hold.
   bool PrimaryOnly = false;
   bool ServedByReplica = false;
