Guard the comparison with siblings by tests of common slowness

Change: Tests of the first answers after a stall, of siblings with little traffic, and a stricter test of single very slow answers, which looked at the end state only.

--- a/packages/kernel/test/serverpace-test.cpp
+++ b/packages/kernel/test/serverpace-test.cpp
@@ -288,6 +288,34 @@
   }
 }
 
+// Guards against taking the server that answers first after a common stall,
+// such as a network that loses everything for a moment, for the slow one.
+TEST_CASE("the first server to answer after a stall is not degraded") {
+  View V(3);
+  V.warmUp();
+  Instant Stalled = V.Now;
+  V.Now += 500ms;
+  for (int I = 0; I < 8; ++I) {
+    V.answerTo(0, Stalled, ServerOutcome::Answered);
+    CHECK(V.degraded() == 0);
+  }
+}
+
+// Guards against taking the server with the most traffic for the slow one when
+// all become slow: the means of the others follow with fewer samples.
+TEST_CASE("siblings with little traffic that become slow as well count") {
+  View V(3);
+  V.warmUp();
+  for (int I = 0; I < 200; ++I, V.Now += 10ms) {
+    if (I % 10 == 0) {
+      V.answer(1, 105ms);
+      V.answer(2, 105ms);
+    }
+    V.answer(0, 105ms);
+    CHECK(V.degraded() == 0);
+  }
+}
+
 // Guards against taking load for a fault: a server that refuses statements as
 // overloaded is slow because its queue is full.
 TEST_CASE("a busy server is not degraded") {
@@ -310,12 +338,13 @@
   for (int I = 0; I < 3; ++I) {
     V.answer(1, 14ms);
     V.answer(0, 500ms);
+    CHECK(V.degraded() == 0);
   }
   for (int I = 0; I < 20; ++I, V.Now += 20ms) {
     V.answer(1, 14ms);
     V.answer(0, 14ms);
+    CHECK(V.degraded() == 0);
   }
-  CHECK_FALSE(V.Servers[0].Degraded);
 }
 
 // Guards against a workload with long statements that makes a server look slow:
