A key in place of the database is not shown

Cause: a caller that forgets the database sends START with its key in that place. The key appeared in the log event of the missing route and in the text of ERR NODB.

--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -53,6 +53,9 @@
   /// Logs that there is no route for a database. \p Statement is the id of the
   /// refused statement, empty for a new session.
   void logNoRoute(std::string_view Database, std::string_view Statement);
+  /// True if the text contains a key of a customer. A caller may have sent its
+  /// key in place of the database.
+  bool containsKey(std::string_view Text) const;
   /// Logs that a key may not use a database. \p Customer is the one that the
   /// key has identified before, empty if there is none.
   void logNotAuthorized(std::string_view Database, std::string_view Statement,
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -107,7 +107,16 @@
   return {std::move(S), {}};
 }
 
+bool Engine::containsKey(std::string_view Text) const {
+  const auto &Keys = Config.Customers.ByKey;
+  return std::any_of(Keys.begin(), Keys.end(), [&](const auto &Entry) {
+    return Text.find(Entry.first) != std::string_view::npos;
+  });
+}
+
 void Engine::logNoRoute(std::string_view Database, std::string_view Statement) {
+  if (containsKey(Database))
+    Database = {};
   Events.write(EngineEvent::DatabaseRefused,
                {{"id", Statement},
                 {"database", Database},
