NOAUTH names no time after which to retry

Cause: the refusal of a waiting statement whose key was removed ended with 'retry after N ms', although the caller must not retry. Change: Group::refuse() adds the hint to other codes only. Result: the new check in customers-test.cpp failed before and passes now; engine-tests pass.

--- a/packages/engine/src/grouprefuse.cpp
+++ b/packages/engine/src/grouprefuse.cpp
@@ -117,8 +117,11 @@
   JobResult Result;
   Result.Unservable = Unservable;
   Result.Reply.Error = Code;
-  Result.Reply.ErrorText = std::string(Reason) + "; retry after " +
-                           std::to_string(toMillis(retryHint(*J))) + " ms";
+  Result.Reply.ErrorText = Reason;
+  // A key that is not known is not known later either.
+  if (Code != ReplyCode::NotAuthorized)
+    Result.Reply.ErrorText +=
+        "; retry after " + std::to_string(toMillis(retryHint(*J))) + " ms";
   auto Done = std::move(J->Done);
   if (Done)
     Done(std::move(Result));
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -188,6 +188,8 @@
   F.SessionEngine->applyConfig(Config);
   REQUIRE(F.Replies.size() == 1);
   CHECK(F.last().Error == ReplyCode::NotAuthorized);
+  // The caller must not retry.
+  CHECK(F.last().ErrorText.find("retry") == std::string::npos);
 }
 
 // Guards against a proxy with an old configuration whose statements another one
