Clearer names and comments of the limits and the connection cache

Cause: comments named a memory share that the code does not use and described a parameter figuratively; two names did not tell what they hold. Change: comments state the shares and what a null list means; partOfEach is bytesPerDescriptor, Probe and Enough are Copy and AnyToken. No change of behaviour. Result: kernel-tests, engine-tests, customerlimits tests and platform-tests pass.

--- a/packages/control/src/limitholder.cpp
+++ b/packages/control/src/limitholder.cpp
@@ -54,9 +54,10 @@
   recordDemand(Held.Bucket, Accepted.Wanted, now());
   if (tokensToBorrow(Held.Bucket, now()) != 0)
     borrow(Customer, Held);
-  LimitBucket Probe = Held.Bucket;
-  bool Enough = takeTokens(Probe, Accepted.Wanted, now()).Tokens != 0;
-  if (Held.Borrowing && !Enough)
+  // Tokens are taken from a copy to see whether there are any.
+  LimitBucket Copy = Held.Bucket;
+  bool AnyToken = takeTokens(Copy, Accepted.Wanted, now()).Tokens != 0;
+  if (Held.Borrowing && !AnyToken)
     Held.Pending.push_back(std::move(Accepted));
   else
     answer(Customer, Held, Accepted);
--- a/packages/kernel/include/kernel/connectioncache.h
+++ b/packages/kernel/include/kernel/connectioncache.h
@@ -42,8 +42,8 @@
 /// A customer that needs a connection.
 struct ConnectionRequest {
   CustomerId Customer;
-  /// Statements that run before those of the customer; their connections are
-  /// kept. Null if the customer has waited too long to be considerate.
+  /// Customers with waiting statements; their connections are kept. Null if the
+  /// request has waited so long that their idle connections may be closed too.
   const WaitingByCustomer *Waiting = nullptr;
 };
 
--- a/packages/kernel/include/kernel/memorybudget.h
+++ b/packages/kernel/include/kernel/memorybudget.h
@@ -23,8 +23,8 @@
 /// Limits for all callers together and for each of them.
 struct CallerLimits {
   /// Bytes that are held for all callers: messages that have not ended,
-  /// statements in progress and answers that were not sent. The other half of
-  /// the memory is for servers, peers, the store and the program itself.
+  /// statements in progress and answers that were not sent. The rest of the
+  /// memory is for servers, peers, the store and the program itself.
   std::size_t TotalBytes = std::numeric_limits<std::size_t>::max();
   /// A caller that holds less may always send: ordinary messages get through
   /// although others have used up the total.
--- a/packages/kernel/src/memorybudget.cpp
+++ b/packages/kernel/src/memorybudget.cpp
@@ -4,9 +4,10 @@
 namespace eelgrassloom {
 namespace detail {
 
-/// Part of the memory that is held for callers in the order of these limits.
+/// The memory of the host, divided by this, is the total for all callers.
 constexpr std::size_t TotalDivisor = 3;
-/// Part of the memory that all allowances, and all receive buffers, may take.
+/// The memory of the host, divided by this, bounds the sum of all allowances,
+/// and also that of all receive buffers.
 constexpr std::size_t AllowanceDivisor = 8;
 constexpr std::size_t MinAllowanceBytes = 4096;
 constexpr std::size_t MaxAllowanceBytes = std::size_t{16} << 10;
@@ -16,7 +17,7 @@
 /// is for servers, peers and the store.
 constexpr double CallerDescriptorShare = 0.75;
 
-std::size_t partOfEach(const HostResources &Host) {
+std::size_t bytesPerDescriptor(const HostResources &Host) {
   std::size_t Count = std::max<std::size_t>(1, Host.Descriptors);
   return std::clamp(Host.MemoryBytes / AllowanceDivisor / Count,
                     MinAllowanceBytes, MaxAllowanceBytes);
@@ -28,8 +29,9 @@
   CallerLimits Limits;
   if (Host.MemoryBytes != 0) {
     Limits.TotalBytes = Host.MemoryBytes / detail::TotalDivisor;
-    Limits.AllowanceBytes = detail::partOfEach(Host);
-    Limits.ReceiveBufferBytes = static_cast<int>(detail::partOfEach(Host));
+    Limits.AllowanceBytes = detail::bytesPerDescriptor(Host);
+    Limits.ReceiveBufferBytes =
+        static_cast<int>(detail::bytesPerDescriptor(Host));
   }
   if (Host.Descriptors != 0) {
     std::size_t Sockets =
