One slow statement does not close the connections of customers

Cause: a statement without an answer in time closed all idle connections that had not answered since it was sent; connections of customers are used rarely, so that most of the cache went. Change: while the server answers on others, idle connections of customers are closed only after two exchanges without an answer in a row.

--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -8,6 +8,8 @@
 /// that after a series of failures other servers are preferred for a while
 /// only.
 constexpr unsigned MaxSuspicion = 4;
+/// From this Suspicion on all idle connections of customers count as lost.
+constexpr unsigned MinSuspicionForAll = 2;
 /// Idle connections are not closed below this number of open connections.
 constexpr std::size_t MinPoolSize = 2;
 
@@ -332,6 +334,12 @@
 
 void ServerPool::exchangeTimedOut(Instant SentAt) {
   Suspicion = std::min(Suspicion + 1, detail::MaxSuspicion);
+  // Connections of customers are used rarely, so that most have no recent
+  // answer. If the server answers on others, one slow statement is no reason to
+  // open them all again.
+  if (Limits.PerCustomer && AppliedAt > SentAt &&
+      Suspicion < detail::MinSuspicionForAll)
+    return;
   std::vector<ConnectionRef> Suspect;
   for (const ConnectionRef &C : Open)
     if (!C->Busy && C->LastAnswer <= SentAt)
--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -135,3 +135,29 @@
   CHECK(F.Dials == 5);
   CHECK(F.Pool->connections() == 1);
 }
+
+// Guards against a cache of connections that is lost with each slow statement:
+// its connections belong to many customers and have seldom answered lately.
+TEST_CASE("one slow statement does not close the connections of customers") {
+  PoolFixture F;
+  F.Pool->setLimits({4, 49, 4, true});
+  for (const char *Customer : {"a", "b", "c"}) {
+    F.Pool->ensureConnection({Customer, nullptr});
+    F.AnswerDial(
+        {DialOutcome::Connected, std::make_shared<StubConnection>(), {}});
+  }
+  F.Now += 1s;
+  Instant SentAt = F.Now;
+  F.Now += 1s;
+  SUBCASE("while the server answers others") {
+    F.Pool->AppliedAt = F.Now;
+    F.Pool->exchangeTimedOut(SentAt);
+    CHECK(F.Pool->connections() == 3);
+    F.Pool->exchangeTimedOut(SentAt);
+    CHECK(F.Pool->connections() == 0);
+  }
+  SUBCASE("unless the server answers nobody") {
+    F.Pool->exchangeTimedOut(SentAt);
+    CHECK(F.Pool->connections() == 0);
+  }
+}
