--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -130,7 +130,10 @@
     handleRequest(Customer, {{}, R.Exchange, R.Wanted});
     return;
   }
-  UnansweredSince.try_emplace(R.Holder, now());
+  // The answer to an earlier request may have been lost.
+  auto [Since, New] = UnansweredSince.try_emplace(R.Holder, now());
+  if (!New && now() - Since->second >= Options.HolderRetry)
+    Since->second = now();
   Send(addressOf(R.Holder), encode(LimitMessage{LimitMessageKind::Request,
                                                 Self,
                                                 R.Exchange,
--- a/packages/control/src/limitholder.cpp
+++ b/packages/control/src/limitholder.cpp
@@ -18,9 +18,11 @@
 CustomerLimits::bucketOf(const CustomerId &Customer,
                          const OperationLimit &Limit) {
   std::vector<ProxyId> Holders = holdersIn(FailureDomain, Customer);
-  HolderRank Rank = Holders.empty() || Holders.front() == Self
-                        ? HolderRank::First
-                        : HolderRank::Deputy;
+  HolderRank Rank = HolderRank::Deputy;
+  if (Holders.empty())
+    Rank = HolderRank::Unknown;
+  else if (Holders.front() == Self)
+    Rank = HolderRank::First;
   LimitShare Share = shareOf(Limit, Options.Tolerance,
                              std::max(Options.Domains, Domains.size()), Rank);
   auto [It, New] = Buckets.try_emplace(Customer);
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -50,7 +50,7 @@
   }
 
   /// A new process in the place of the proxy, which knows nothing.
-  void restart(LimitedProxy &P) {
+  void restart(LimitedProxy &P, bool KnowsPeers = true) {
     ++Incarnations[P.Id];
     P.Running = true;
     P.Events = std::make_unique<EventWriter>(P.Id, [] { return 0; });
@@ -75,7 +75,8 @@
           deliver(P, To, Bytes);
         },
         Options);
-    P.Limits->setPeers(registered());
+    if (KnowsPeers)
+      P.Limits->setPeers(registered());
   }
 
   void setRate(double NewRate) {
@@ -255,6 +256,16 @@
   CHECK(F.Refused * 20 <= F.Begun);
 }
 
+// Guards against proxies that each grant the whole share before they have read
+// the list of proxies, after a restart of all of them.
+TEST_CASE("proxies that don't know each other stay near the limit") {
+  LimitedFleet F(30, 6);
+  for (auto &P : F.Proxies)
+    F.restart(*P, false);
+  F.run(5 * Rate, 5s);
+  CHECK(F.mostInWindow() <= allowedInWindow(Rate));
+}
+
 // Guards against a lower limit that is not kept.
 TEST_CASE("a lower limit binds") {
   LimitedFleet F(5, 4);
--- a/packages/kernel/include/kernel/customerlimit.h
+++ b/packages/kernel/include/kernel/customerlimit.h
@@ -35,6 +35,9 @@
   /// It grants a part of the share while the first one does not answer, because
   /// the first one may still grant all of it.
   Deputy,
+  /// The list of proxies is not known yet. Every proxy that has just started
+  /// grants a small part by itself.
+  Unknown,
 };
 
 /// Share of a holder in one of \p Domains failure domains.
--- a/packages/kernel/src/customerlimit.cpp
+++ b/packages/kernel/src/customerlimit.cpp
@@ -13,6 +13,9 @@
 constexpr double SlackShare = 0.5;
 /// Part of the rate that a deputy grants.
 constexpr double DeputyShare = 0.25;
+/// Part of the rate that a proxy grants without a list of proxies: many that
+/// start together don't exceed the limit by much.
+constexpr double UnknownShare = 1.0 / 32;
 /// Part of the capacity with which a new holder begins.
 constexpr double InitialShare = 0.1;
 /// Tokens that were granted to a proxy lapse after this time.
@@ -81,6 +84,10 @@
     Share.RatePerSecond *= detail::DeputyShare;
     Share.Capacity *= detail::InitialShare;
   }
+  if (Rank == HolderRank::Unknown) {
+    Share.RatePerSecond *= detail::UnknownShare;
+    Share.Capacity *= detail::UnknownShare;
+  }
   if (Limit.RatePerSecond > 0)
     Share.Capacity = std::max(1.0, Share.Capacity);
   return Share;
