Two holders of a customer's limit in each failure domain

Change: two holders with half of the share each; a proxy passes over a silent one after 40 ms, within the wait of the operation, and nobody grants more than its own share.

--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -52,8 +52,8 @@
   /// An operation waits this long for a token.
   Duration MaxWait = std::chrono::milliseconds(60);
   /// A holder that has not answered for this time is passed over.
-  Duration HolderTimeout = std::chrono::milliseconds(150);
-  /// The first holder is tried again after this time.
+  Duration HolderTimeout = std::chrono::milliseconds(40);
+  /// A holder that was passed over is tried again after this time.
   Duration HolderRetry = std::chrono::seconds(1);
   /// A holder waits this long for tokens of other failure domains.
   Duration BorrowWait = std::chrono::milliseconds(25);
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -256,6 +256,28 @@
   CHECK(F.Refused * 20 <= F.Begun);
 }
 
+// Guards against callers that are refused while a holder of their customer
+// can't be reached from their proxy: half of the share is at the other holder,
+// and the other failure domains lend theirs.
+TEST_CASE("operations go on while a holder is lost") {
+  LimitedFleet F(10, 7);
+  F.run(0.5 * Rate, 2s);
+  OwnerTable Table;
+  std::vector<LiveProxy> Live;
+  for (auto &P : F.Proxies)
+    Live.push_back({P->Id, P->Domain, false, 100});
+  Table = makeOwnerTable(Live);
+  ProxyId Lost = rankedOwners(Table, "a", "limit/customer").front();
+  for (auto &P : F.Proxies)
+    if (P->Id == Lost)
+      P->Running = false;
+  F.run(0.5 * Rate, 1s); // The others find out that it is silent.
+  std::size_t RefusedBefore = F.Refused;
+  std::size_t BegunBefore = F.Begun;
+  F.run(0.5 * Rate, 10s);
+  CHECK((F.Refused - RefusedBefore) * 10 <= F.Begun - BegunBefore);
+}
+
 // Guards against proxies that each grant the whole share before they have read
 // the list of proxies, after a restart of all of them.
 TEST_CASE("proxies that don't know each other stay near the limit") {
