An operation waits 80 ms for a token

Cause: a proxy that passes over a silent holder after 40 ms may have to wait for the loan of the other one, which takes up to 25 ms.

--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -50,7 +50,7 @@
   /// A request without an answer is sent again after this time.
   Duration ResendAfter = std::chrono::milliseconds(20);
   /// An operation waits this long for a token.
-  Duration MaxWait = std::chrono::milliseconds(60);
+  Duration MaxWait = std::chrono::milliseconds(80);
   /// A holder that has not answered for this time is passed over.
   Duration HolderTimeout = std::chrono::milliseconds(40);
   /// A holder that was passed over is tried again after this time.
