One holder and a deputy again; acting owners take the whole share of connections

A proxy that acts as owner opens the whole share; a pool that no statement has used for 2 s gives its connections up.

--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -2,11 +2,13 @@
 
 #include "control/customerlimits.h"
 #include <algorithm>
-#include <xxhash.h>
 
 namespace eelgrassloom {
 namespace detail {
 
+/// Proxies of a failure domain that grant tokens of a customer: the holder and
+/// its deputy.
+constexpr std::size_t HoldersPerDomain = 2;
 /// Retry hint if no holder answers.
 constexpr Duration NoHolderRetry = std::chrono::milliseconds(300);
 
@@ -70,8 +72,8 @@
                           const CustomerId &Customer) const {
   std::vector<ProxyId> Holders =
       rankedOwners(Table, Domain, "limit/" + Customer);
-  if (Holders.size() > HoldersPerDomain)
-    Holders.resize(HoldersPerDomain);
+  if (Holders.size() > detail::HoldersPerDomain)
+    Holders.resize(detail::HoldersPerDomain);
   return Holders;
 }
 
@@ -85,16 +87,6 @@
   // Before the first list of proxies is read, there is only this one.
   if (Holders.empty())
     return Self;
-  // The proxies of the failure domain are spread over the holders. A holder
-  // asks itself.
-  auto Own = std::find(Holders.begin(), Holders.end(), Self);
-  std::size_t First =
-      Own != Holders.end()
-          ? static_cast<std::size_t>(Own - Holders.begin())
-          : XXH3_64bits(Self.data(), Self.size()) % Holders.size();
-  std::rotate(Holders.begin(),
-              Holders.begin() + static_cast<std::ptrdiff_t>(First),
-              Holders.end());
   for (const ProxyId &Id : Holders) {
     auto It = SilentUntil.find(Id);
     if (It == SilentUntil.end() || now() >= It->second)
--- a/packages/control/src/limitholder.cpp
+++ b/packages/control/src/limitholder.cpp
@@ -18,12 +18,13 @@
 CustomerLimits::bucketOf(const CustomerId &Customer,
                          const OperationLimit &Limit) {
   std::vector<ProxyId> Holders = holdersIn(FailureDomain, Customer);
-  bool Holds = std::find(Holders.begin(), Holders.end(), Self) != Holders.end();
-  std::size_t PerDomain = std::max<std::size_t>(1, Holders.size());
-  LimitShare Share =
-      shareOf(Limit, Options.Tolerance,
-              std::max(Options.Domains, Domains.size()) * PerDomain,
-              Holds ? HolderRank::Holder : HolderRank::Unknown);
+  HolderRank Rank = HolderRank::Deputy;
+  if (Holders.empty())
+    Rank = HolderRank::Unknown;
+  else if (Holders.front() == Self)
+    Rank = HolderRank::First;
+  LimitShare Share = shareOf(Limit, Options.Tolerance,
+                             std::max(Options.Domains, Domains.size()), Rank);
   auto [It, New] = Buckets.try_emplace(Customer);
   if (New)
     It->second.Bucket = makeBucket(Share, HolderSince);
@@ -87,10 +88,13 @@
     return;
   unsigned Missing = tokensToBorrow(Held.Bucket, now());
   std::vector<std::string> Lenders;
-  for (const std::string &Domain : Domains)
-    for (const ProxyId &Id : holdersIn(Domain, Customer))
-      if (Id != Self)
-        Lenders.push_back(addressOf(Id));
+  for (const std::string &Domain : Domains) {
+    if (Domain == FailureDomain)
+      continue;
+    std::vector<ProxyId> Holders = holdersIn(Domain, Customer);
+    if (!Holders.empty())
+      Lenders.push_back(addressOf(Holders.front()));
+  }
   if (Lenders.empty())
     return;
   Held.Borrowing = true;
@@ -125,8 +129,7 @@
                                   const LimitMessage &M) {
   const OperationLimit *Limit = limitOf(M.Customer);
   std::vector<ProxyId> Holders = holdersIn(FailureDomain, M.Customer);
-  if (Limit == nullptr ||
-      std::find(Holders.begin(), Holders.end(), Self) == Holders.end())
+  if (Limit == nullptr || Holders.empty() || Holders.front() != Self)
     return;
   HeldBucket &Held = bucketOf(M.Customer, *Limit);
   unsigned Lent = lendTokens(Held.Bucket, M.Tokens, now());
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -276,7 +276,7 @@
   void updateLimits();
   /// Connections that this proxy may open to each server if they belong to
   /// customers.
-  unsigned customerConnectionLimit();
+  unsigned customerConnectionLimit() const;
   /// Forwards waiting statements to the owner. They waited here because the
   /// owner could not be reached when they arrived.
   void forwardWaiting();
@@ -404,8 +404,6 @@
   bool PaceEnabled = false;
   /// Servers were known before, so that one that appears has just started.
   bool ServersKnown = false;
-  /// Since when this proxy owns the service; empty if it does not.
-  std::optional<Instant> OwnerSince;
   std::uint64_t EvictionsOfRemovedPools = 0;
   /// All statements that this proxy has to answer or run itself, waiting ones
   /// included.
--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -67,6 +67,9 @@
   /// The same if connections belong to customers: they are closed for other
   /// customers before.
   Duration CustomerIdleTimeout = std::chrono::seconds(30);
+  /// Connections of customers are excess if no statement has used the server
+  /// for this time.
+  Duration UnusedTime = std::chrono::seconds(2);
   /// Idle connections beyond this share are closed after this time, so that
   /// other proxies can open theirs.
   Duration ExcessIdleTimeout = std::chrono::milliseconds(300);
@@ -240,6 +243,8 @@
   /// Handshakes in progress by customer.
   std::map<CustomerId, unsigned, std::less<>> DialingFor;
   CustomerUse Use;
+  /// Last time a statement took a connection.
+  Instant LastAcquired;
   bool PaceEnabled = false;
   ServerPace Pace;
   Instant NextTrialDial;
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -29,9 +29,6 @@
 /// One proxy may open this multiple of its equal share of the connections of a
 /// server, because proxies differ in load.
 constexpr unsigned ConnectionShareFactor = 2;
-/// An owner whose connections belong to customers uses the reserve of a server
-/// for this time, until the former owner has closed its connections.
-constexpr Duration NewOwnerTime = std::chrono::seconds(5);
 /// Lower bound of the connections that one proxy may open to a server.
 constexpr unsigned MinConnections = 3;
 
@@ -105,21 +102,17 @@
                           Hooks.Now() - LastRunForPeers < detail::RecentUse);
 }
 
-unsigned Group::customerConnectionLimit() {
-  Instant Now = Hooks.Now();
-  bool Owns = !OwnersNeeded || Forwarder->owns(Service);
-  if (!Owns)
-    OwnerSince.reset();
-  else if (!OwnerSince)
-    OwnerSince = Now;
-  std::size_t Sharers = OwnersNeeded ? FailureDomainCount : ProxyCount;
-  if (Owns && (!OwnersNeeded || Now - *OwnerSince >= detail::NewOwnerTime))
-    return customerConnectionShare(ConnectionCap, Sharers);
-  unsigned Reserve = connectionReserve(ConnectionCap);
-  if (Owns || actsAsOwner())
-    return std::max(1U, Reserve);
-  return std::max(1U, Reserve / static_cast<unsigned>(
-                                    std::max<std::size_t>(1, ProxyCount)));
+unsigned Group::customerConnectionLimit() const {
+  if (!OwnersNeeded)
+    return customerConnectionShare(ConnectionCap, ProxyCount);
+  // A proxy that runs statements in place of an owner takes the whole share at
+  // once: the customers of a failure domain need it, and the former owner,
+  // which gets no statements any more, closes its connections.
+  if (actsAsOwner())
+    return customerConnectionShare(ConnectionCap, FailureDomainCount);
+  return std::max(
+      1U, connectionReserve(ConnectionCap) /
+              static_cast<unsigned>(std::max<std::size_t>(1, ProxyCount)));
 }
 
 void Group::updateLimits() {
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -41,8 +41,9 @@
 ConnectionRef ServerPool::acquire(SessionId Session,
                                   const CustomerId &Customer) {
   dropUnusable();
+  LastAcquired = Hooks.Now();
   if (Limits.PerCustomer)
-    recordUse(Use, Customer, Hooks.Now());
+    recordUse(Use, Customer, LastAcquired);
   ConnectionRef Best;
   for (const ConnectionRef &C : Open) {
     if (C->Busy || C->Customer != Customer)
@@ -364,8 +365,10 @@
   Instant Now = Hooks.Now();
   std::size_t Share =
       InUse ? Limits.AllProxies / std::max<std::size_t>(1, Limits.Sharers) : 0;
+  // An owner that gets no statements is cut off from its callers, and another
+  // proxy runs them.
   if (InUse && Limits.PerCustomer)
-    Share = Limits.Connections;
+    Share = Now - LastAcquired < Options.UnusedTime ? Limits.Connections : 0;
   Duration IdleTimeout =
       Limits.PerCustomer ? Options.CustomerIdleTimeout : Options.IdleTimeout;
   std::vector<ConnectionRef> Idle;
--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -161,3 +161,22 @@
     CHECK(F.Pool->connections() == 0);
   }
 }
+
+// Guards against a former owner that keeps the connections which the proxy that
+// runs statements in its place needs.
+TEST_CASE("a pool without statements gives up the connections of customers") {
+  PoolFixture F;
+  F.Pool->setLimits({4, 49, 4, true});
+  for (const char *Customer : {"a", "b", "c"}) {
+    F.Pool->ensureConnection({Customer, nullptr});
+    F.AnswerDial(
+        {DialOutcome::Connected, std::make_shared<StubConnection>(), {}});
+    F.Pool->release(F.Pool->acquire(1, Customer), true);
+  }
+  F.Now += 1s;
+  F.Pool->closeIdle(true);
+  CHECK(F.Pool->connections() == 3);
+  F.Now += 2s;
+  F.Pool->closeIdle(true);
+  CHECK(F.Pool->connections() == 0);
+}
--- a/packages/kernel/include/kernel/customerlimit.h
+++ b/packages/kernel/include/kernel/customerlimit.h
@@ -27,22 +27,22 @@
   bool operator==(const LimitShare &) const = default;
 };
 
-/// Proxies of each failure domain that hold a bucket of a customer. With two, a
-/// proxy that can't reach one of them asks the other, and neither has to grant
-/// more than its own share.
-inline constexpr std::size_t HoldersPerDomain = 2;
-
+/// Place of a proxy among those of its failure domain that may hold the bucket
+/// of a customer.
 enum class HolderRank : std::uint8_t {
-  /// One of the holders, according to the list of registered proxies.
-  Holder,
-  /// The list of proxies is not known yet, or does not name the proxy as a
-  /// holder. Each such proxy grants a small part by itself.
+  /// The holder, according to the list of registered proxies.
+  First,
+  /// It grants a part of the share while the first one does not answer, because
+  /// the first one may still grant all of it.
+  Deputy,
+  /// The list of proxies is not known yet. Every proxy that has just started
+  /// grants a small part by itself.
   Unknown,
 };
 
-/// Share of a holder among \p Holders in the whole fleet.
+/// Share of a holder in one of \p Domains failure domains.
 LimitShare shareOf(const OperationLimit &Limit, const LimitTolerance &Tolerance,
-                   std::size_t Holders, HolderRank Rank);
+                   std::size_t Domains, HolderRank Rank);
 
 /// The bucket of one customer at its holder in one failure domain.
 struct LimitBucket {
--- a/packages/kernel/src/customerlimit.cpp
+++ b/packages/kernel/src/customerlimit.cpp
@@ -11,6 +11,8 @@
 constexpr double CapacityShare = 0.7;
 /// The same for the slack of the rule.
 constexpr double SlackShare = 0.5;
+/// Part of the rate that a deputy grants.
+constexpr double DeputyShare = 0.25;
 /// Part of the rate that a proxy grants without a list of proxies: many that
 /// start together don't exceed the limit by much.
 constexpr double UnknownShare = 1.0 / 32;
@@ -71,13 +73,17 @@
 } // namespace detail
 
 LimitShare shareOf(const OperationLimit &Limit, const LimitTolerance &Tolerance,
-                   std::size_t Holders, HolderRank Rank) {
-  auto Count = static_cast<double>(std::max<std::size_t>(1, Holders));
+                   std::size_t Domains, HolderRank Rank) {
+  auto Count = static_cast<double>(std::max<std::size_t>(1, Domains));
   LimitShare Share;
   Share.RatePerSecond = Limit.RatePerSecond / Count;
   Share.Capacity = (Limit.Burst * detail::CapacityShare +
                     Tolerance.Slack * detail::SlackShare) /
                    Count;
+  if (Rank == HolderRank::Deputy) {
+    Share.RatePerSecond *= detail::DeputyShare;
+    Share.Capacity *= detail::InitialShare;
+  }
   if (Rank == HolderRank::Unknown) {
     Share.RatePerSecond *= detail::UnknownShare;
     Share.Capacity *= detail::UnknownShare;
