Check waiting statements without a customer against a newer configuration

Cause: keyRefusal() passed over statements without a customer, and an owner trusted the sender's word that a route is public. A statement that waited ran without a key after its route had become private, or after customers had been configured for the first time. Change: such a statement runs on only if the newer configuration has a public route to its service. If its key is known now, the caller is told to try again, otherwise that the key is not known. Statements carry the hash of the key also without a customer. A sender without a version is a program that does not know customers; its statements are still returned to it.

--- a/packages/engine/include/engine/engine.h
+++ b/packages/engine/include/engine/engine.h
@@ -12,6 +12,17 @@
 
 namespace eelgrassloom {
 
+/// A caller whose key was checked against an earlier configuration, or by
+/// another proxy.
+struct CheckedCaller {
+  /// Customer that the key has identified; empty if no key was needed.
+  std::string_view Customer;
+  std::uint64_t KeyHash = 0;
+  std::string_view Service;
+  /// Version of the configuration against which the key was checked.
+  std::uint64_t CheckedBy = 0;
+};
+
 /// Routes the statements of sessions to the groups of servers that run them.
 /// Sessions and the forwarder refer to it.
 class Engine {
@@ -87,13 +98,10 @@
   /// TickInterval.
   void tick();
 
-  /// Why statements of \p Customer may not run with the key of this hash any
-  /// more, according to the configuration in force; empty if they may, or if
-  /// this configuration is not newer than \p CheckedBy, the version by which
-  /// the key was checked.
-  std::optional<ReplyCode> keyRefusal(const CustomerId &Customer,
-                                      std::uint64_t KeyHash,
-                                      std::uint64_t CheckedBy) const;
+  /// Why statements of the caller may not run any more, according to the
+  /// configuration in force; empty if they may, or if this configuration is not
+  /// newer than the one by which the caller was checked.
+  std::optional<ReplyCode> keyRefusal(const CheckedCaller &Caller) const;
 
 private:
   Engine(std::string FailureDomain, const RuntimeHooks &Hooks, Dialer Dial,
@@ -104,6 +112,8 @@
   /// Ends transactions that rest while statements of other customers wait for
   /// their connections.
   void endRestingTransactions();
+  /// True if callers without a key may use the service.
+  bool hasPublicRoute(std::string_view Service) const;
   /// Creates the groups of new services and passes servers to all groups.
   void refreshGroups();
 
--- a/packages/engine/src/engine.cpp
+++ b/packages/engine/src/engine.cpp
@@ -85,7 +85,8 @@
     Entry->setForwarder(Forwarder,
                         ownersNeeded(Slots, Service.ConnectionCap, ProxyCount));
     Entry->setKeyCheck([this](const Job &J) {
-      return keyRefusal(J.Customer, J.KeyHash, J.ConfigVersion);
+      return keyRefusal(
+          {J.Customer, J.KeyHash, J.Route.Service, J.ConfigVersion});
     });
     Entry->setPerCustomer(!Config.Customers.empty());
     Entry->setServers(Members, Service.ConnectionCap, FailureDomainCount,
@@ -144,17 +145,24 @@
                 {"in_force_ms", Hooks.Now() - ConfigAppliedAt}});
 }
 
-std::optional<ReplyCode> Engine::keyRefusal(const CustomerId &Customer,
-                                            std::uint64_t KeyHash,
-                                            std::uint64_t CheckedBy) const {
-  if (CheckedBy >= Config.Version || Customer.empty() ||
-      Config.Customers.empty())
+bool Engine::hasPublicRoute(std::string_view Service) const {
+  return std::any_of(Config.Routes.begin(), Config.Routes.end(),
+                     [&](const auto &Entry) {
+                       const RouteConfig &Route = Entry.second;
+                       return Route.Public && Route.Service == Service;
+                     });
+}
+
+std::optional<ReplyCode> Engine::keyRefusal(const CheckedCaller &Caller) const {
+  if (Caller.CheckedBy >= Config.Version || Config.Customers.empty())
+    return std::nullopt;
+  if (Caller.Customer.empty() && hasPublicRoute(Caller.Service))
     return std::nullopt;
-  auto It = Config.Customers.ByKeyHash.find(KeyHash);
+  auto It = Config.Customers.ByKeyHash.find(Caller.KeyHash);
   if (It == Config.Customers.ByKeyHash.end())
     return ReplyCode::NotAuthorized;
-  // The key belongs to another customer now; the caller may try again.
-  if (It->second != Customer)
+  // The key identifies another customer than before; the caller may try again.
+  if (It->second != Caller.Customer)
     return ReplyCode::Aborted;
   return std::nullopt;
 }
--- a/packages/engine/src/forwardserver.cpp
+++ b/packages/engine/src/forwardserver.cpp
@@ -160,11 +160,11 @@
     Client->Stream->send(encode(CurrentServers()));
 }
 
-/// True for a statement of a proxy whose program does not know customers. It
-/// must not run on a connection of the proxy, because the server would not be
-/// told its customer.
+/// True for a statement of a proxy whose program does not know customers and
+/// sends no version. It must not run on a connection of the proxy, because the
+/// server would not be told its customer.
 bool StatementForwarder::lacksCustomer(const ForwardRequest &M) const {
-  return M.Customer.empty() && !M.Route.Public &&
+  return M.Customer.empty() && M.ConfigVersion == 0 &&
          !SessionEngine.config().Customers.empty();
 }
 
@@ -182,8 +182,14 @@
     Client->Stream->send(encode(Refusal));
     return;
   }
-  if (auto Code =
-          SessionEngine.keyRefusal(M.Customer, M.KeyHash, M.ConfigVersion)) {
+  if (!G || lacksCustomer(M) ||
+      (M.Transaction == 0 && (Stopping || !SessionEngine.ready()))) {
+    Refusal.Unservable = true;
+    Client->Stream->send(encode(Refusal));
+    return;
+  }
+  if (auto Code = SessionEngine.keyRefusal(
+          {M.Customer, M.KeyHash, M.Route.Service, M.ConfigVersion})) {
     if (M.Transaction != 0)
       rollBackForwarded(Client, M.Transaction);
     Refusal.Reply.Error = Code;
@@ -192,12 +198,6 @@
     Client->Stream->send(encode(Refusal));
     return;
   }
-  if (!G || lacksCustomer(M) ||
-      (M.Transaction == 0 && (Stopping || !SessionEngine.ready()))) {
-    Refusal.Unservable = true;
-    Client->Stream->send(encode(Refusal));
-    return;
-  }
   Instant Now = SessionEngine.runtime().Now();
   auto J = std::make_shared<Job>();
   J->LocalOnly = true;
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -237,7 +237,7 @@
 void Session::run(const JobRef &J) {
   J->Session = Id;
   J->Customer = Customer;
-  J->KeyHash = Customer.empty() ? 0 : hashOfKey(Key);
+  J->KeyHash = hashOfKey(Key);
   J->ConfigVersion = SessionEngine.config().Version;
   J->State = &CallerState;
   J->Route = Route;
--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -193,6 +193,68 @@
   CHECK(F.last().ErrorText.find("retry") == std::string::npos);
 }
 
+// Guards against statements that run without a key on a route that needs one.
+TEST_CASE("a waiting statement without a customer is checked again") {
+  EngineFixture F;
+  std::vector<CustomerConfig> Customers = {{"south", {"ks"}, {}}};
+  std::string Key = "unknown";
+  ReplyCode Expected = ReplyCode::NotAuthorized;
+  SUBCASE("when customers are configured for the first time") {}
+  SUBCASE("and its caller may try again with a key that is known now") {
+    Key = "ks";
+    Expected = ReplyCode::Aborted;
+  }
+  SUBCASE("when its route becomes private") {
+    setCustomers(F, Customers, 10s);
+    RoutingConfig Config = F.SessionEngine->config();
+    ++Config.Version;
+    Config.Routes["latest"].Public = true;
+    F.SessionEngine->applyConfig(Config);
+  }
+  F.server("p").Unresponsive = true;
+  // More than the server runs at once, so that some of them wait here.
+  constexpr unsigned Statements = 20;
+  for (unsigned I = 0; I < Statements; ++I)
+    F.open("latest", Key)->submit(read("a"));
+  F.advance(20ms);
+  REQUIRE(F.Replies.empty());
+  std::size_t Sent = F.server("p").count("READ a");
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Customers = makeCustomerTable(Customers).value();
+  Config.Routes["latest"].Public = false;
+  F.SessionEngine->applyConfig(Config);
+  CHECK(F.Replies.size() == Statements - Sent);
+  CHECK(std::all_of(F.Replies.begin(), F.Replies.end(),
+                    [&](const CallerReply &R) { return R.Error == Expected; }));
+}
+
+// Guards against a proxy with an old configuration that takes a route for
+// public although it has become private.
+TEST_CASE("the owner refuses statements without a key on a private route") {
+  ProxyPair P;
+  for (EngineFixture *F : {&P.Entry, &P.Owner}) {
+    setNorthAndSouth(*F);
+    RoutingConfig Config = F->SessionEngine->config();
+    ++Config.Version;
+    Config.Routes["latest"].Public = true;
+    F->SessionEngine->applyConfig(Config);
+  }
+  auto S = P.Entry.open("latest", "unknown");
+  S->submit(read("a"));
+  P.advance(200ms);
+  REQUIRE(P.Entry.last().Signature == "sig");
+  REQUIRE(P.Owner.server("p").count("READ a") == 1);
+  RoutingConfig Config = P.Owner.SessionEngine->config();
+  ++Config.Version;
+  Config.Routes["latest"].Public = false;
+  P.Owner.SessionEngine->applyConfig(Config);
+  S->submit(read("b"));
+  P.advance(200ms);
+  CHECK(P.Entry.last().Error == ReplyCode::NotAuthorized);
+  CHECK(P.Owner.server("p").count("READ b") == 0);
+}
+
 // Guards against a proxy with an old configuration whose statements another one
 // runs with a key that was removed.
 TEST_CASE("the owner refuses a key that its newer configuration lacks") {
