Close no connection of a customer for a dial of the proxy itself

Cause: status queries and dials that ask whether a server can be reached were requests without a customer, which closed an idle connection of a customer if the pool was full. After TOOMANY a connection without a customer was never closed, because the closing was a request of the same kind. Change: requestOfProxy() closes nothing; chooseToClose() picks any idle connection after TOOMANY. Result: both new pool cases fail on (one of two connections left, one left that should be closed) and pass now.

--- a/packages/engine/include/engine/pool.h
+++ b/packages/engine/include/engine/pool.h
@@ -221,6 +221,10 @@
   bool hasRoom() const;
   /// The idle connection to close for the request; null if there is none.
   ConnectionRef evictionFor(const ConnectionRequest &Request) const;
+  /// The open connections, in the order of Open.
+  std::vector<CachedConnection> cached() const;
+  ConnectionRef connectionAt(std::optional<std::size_t> Index) const;
+  void closeOneIdle();
   void close(const ConnectionRef &Connection);
   /// Reserves \p Connection, which may be null.
   ConnectionRef take(ConnectionRef Connection, SessionId Session);
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -241,7 +241,7 @@
   }
   auto Pool = primaryPool();
   if (Pool && silent(*Pool, Now))
-    Pool->openAnother({});
+    Pool->openAnother(requestOfProxy());
   if (!Pool || StatusPending || !inUse() || !usable(*Pool, Now))
     return;
   Duration Age = Positions.Recent.empty() ? Duration::max()
@@ -254,7 +254,7 @@
   ConnectionRef Connection = Pool->acquireForProxy();
   if (!Connection) {
     if (Age >= detail::DialForPositionAge)
-      Pool->ensureConnection({});
+      Pool->ensureConnection(requestOfProxy());
     return;
   }
   queryStatus(Pool, Connection);
@@ -300,7 +300,7 @@
   StatusPending = false;
   StatusPool->exchangeTimedOut(StatusSentAt);
   StatusPool->release(StatusConnection, false);
-  StatusPool->ensureConnection({});
+  StatusPool->ensureConnection(requestOfProxy());
   StatusConnection.reset();
 }
 
--- a/packages/engine/src/pool.cpp
+++ b/packages/engine/src/pool.cpp
@@ -133,13 +133,21 @@
 }
 
 ConnectionRef ServerPool::evictionFor(const ConnectionRequest &Request) const {
-  std::vector<ConnectionRef> Candidates(Open.begin(), Open.end());
-  std::vector<CachedConnection> Cached;
-  Cached.reserve(Candidates.size());
-  for (const ConnectionRef &C : Candidates)
-    Cached.push_back({C->Customer, C->Busy, C->LastUsed});
-  auto Choice = chooseEviction(Cached, Use, Request, Hooks.Now());
-  return Choice ? Candidates[*Choice] : nullptr;
+  return connectionAt(chooseEviction(cached(), Use, Request, Hooks.Now()));
+}
+
+ConnectionRef ServerPool::connectionAt(std::optional<std::size_t> Index) const {
+  if (!Index)
+    return nullptr;
+  return *std::next(Open.begin(), static_cast<std::ptrdiff_t>(*Index));
+}
+
+std::vector<CachedConnection> ServerPool::cached() const {
+  std::vector<CachedConnection> Result;
+  Result.reserve(Open.size());
+  for (const ConnectionRef &C : Open)
+    Result.push_back({C->Customer, C->Busy, C->LastUsed});
+  return Result;
 }
 
 bool ServerPool::available(const CustomerId &Customer) const {
@@ -221,8 +229,8 @@
     ServerFullUntil = Now + ServerFullBackoff;
     // Other proxies need connections as well. This proxy keeps one less than it
     // had, so that the proxies come to a division that the server accepts.
-    if (ConnectionRef Evicted = evictionFor({}); Limits.PerCustomer && Evicted)
-      close(Evicted);
+    if (Limits.PerCustomer)
+      closeOneIdle();
     markReachable(); // The server has answered.
     return;
   }
@@ -239,6 +247,12 @@
   reportReachability();
 }
 
+void ServerPool::closeOneIdle() {
+  ConnectionRef Idle = connectionAt(chooseToClose(cached(), Use, Hooks.Now()));
+  if (Idle)
+    close(Idle);
+}
+
 void ServerPool::markReachable() {
   Failing = false;
   Refusals = 0;
@@ -248,7 +262,7 @@
 
 void ServerPool::checkFailure(bool InUse) {
   if (InUse)
-    ensureConnection({});
+    ensureConnection(requestOfProxy());
   else if (Hooks.Now() - FailingSince >= Options.FailureRetention)
     markReachable();
 }
--- a/packages/engine/test/pool-test.cpp
+++ b/packages/engine/test/pool-test.cpp
@@ -162,6 +162,39 @@
   }
 }
 
+// Guards against a customer that loses its connection to a dial of the proxy,
+// which only asks whether the server can be reached again.
+TEST_CASE("a dial after a failure closes no connection of a customer") {
+  PoolFixture F;
+  F.Pool->setLimits({2, 49, 4, true});
+  for (const char *Customer : {"a", "b"}) {
+    F.Pool->ensureConnection({Customer, nullptr});
+    F.AnswerDial(
+        {DialOutcome::Connected, std::make_shared<StubConnection>(), {}});
+  }
+  F.Pool->setLimits({3, 49, 4, true});
+  F.Pool->ensureConnection({"c", nullptr});
+  F.answer(DialOutcome::TimedOut);
+  F.Pool->setLimits({2, 49, 4, true});
+  F.Now += 1s;
+  F.Pool->checkFailure(true);
+  CHECK(F.Pool->connections() == 2);
+}
+
+// Guards against a proxy that holds connections which the server lacks for
+// others, because they belong to no customer.
+TEST_CASE("a refusal for too many connections closes one without a customer") {
+  PoolFixture F;
+  F.Pool->setLimits({4, 49, 4, true});
+  F.Pool->ensureConnection({"", nullptr});
+  F.AnswerDial(
+      {DialOutcome::Connected, std::make_shared<StubConnection>(), {}});
+  REQUIRE(F.Pool->connections() == 1);
+  F.Pool->ensureConnection({"a", nullptr});
+  F.answer(DialOutcome::TooManyConnections);
+  CHECK(F.Pool->connections() == 0);
+}
+
 // Guards against a former owner that keeps the connections which the proxy that
 // runs statements in its place needs.
 TEST_CASE("a pool without statements gives up the connections of customers") {
--- a/packages/kernel/include/kernel/connectioncache.h
+++ b/packages/kernel/include/kernel/connectioncache.h
@@ -46,8 +46,21 @@
   /// Customers with waiting statements; their connections are kept. Null if the
   /// request has waited so long that their idle connections may be closed too.
   const WaitingByCustomer *Waiting = nullptr;
+  /// Connections of other customers may be closed for it.
+  bool MayEvict = true;
 };
 
+/// Request for a connection that the proxy itself needs, for a status query or
+/// to learn whether a server can be reached. No customer loses a connection for
+/// it.
+ConnectionRequest requestOfProxy();
+
+/// Index of the idle connection to close because there are too many; empty if
+/// none is idle. The order is that of chooseEviction().
+std::optional<std::size_t>
+chooseToClose(const std::vector<CachedConnection> &Open, const CustomerUse &Use,
+              Instant Now);
+
 /// Index of the idle connection to close for the request; empty if there is
 /// none. A second idle connection of a customer goes first, then the connection
 /// whose customer uses the server least, then the one that was used longest
--- a/packages/kernel/src/connectioncache.cpp
+++ b/packages/kernel/src/connectioncache.cpp
@@ -30,6 +30,29 @@
   return false;
 }
 
+/// The first of the idle connections that may be closed; empty if there is
+/// none.
+template <typename Predicate>
+std::optional<std::size_t>
+firstToClose(const std::vector<CachedConnection> &Open, const CustomerUse &Use,
+             Instant Now, Predicate MayClose) {
+  using Key = std::tuple<bool, double, Instant>;
+  std::optional<std::size_t> Best;
+  Key BestKey;
+  for (std::size_t I = 0; I < Open.size(); ++I) {
+    const CachedConnection &C = Open[I];
+    if (C.Busy || !MayClose(C))
+      continue;
+    Key Candidate = {!isSurplus(Open, I), recentUse(Use, C.Customer, Now),
+                     C.LastUsed};
+    if (!Best || Candidate < BestKey) {
+      Best = I;
+      BestKey = Candidate;
+    }
+  }
+  return Best;
+}
+
 /// True if the transaction may be ended for the blocked customer.
 bool mayEndFor(const RestingTransaction &T, const BlockedCustomer &B,
                Instant Now) {
@@ -54,26 +77,25 @@
   return It == Use.Rates.end() ? 0 : detail::weightAt(It->second, Now);
 }
 
+ConnectionRequest requestOfProxy() { return {{}, nullptr, false}; }
+
 std::optional<std::size_t>
 chooseEviction(const std::vector<CachedConnection> &Open,
                const CustomerUse &Use, const ConnectionRequest &Request,
                Instant Now) {
-  using Key = std::tuple<bool, double, Instant>;
-  std::optional<std::size_t> Best;
-  Key BestKey;
-  for (std::size_t I = 0; I < Open.size(); ++I) {
-    const CachedConnection &C = Open[I];
-    if (C.Busy || C.Customer == Request.Customer ||
-        (Request.Waiting && Request.Waiting->count(C.Customer) != 0))
-      continue;
-    Key Candidate = {!detail::isSurplus(Open, I),
-                     recentUse(Use, C.Customer, Now), C.LastUsed};
-    if (!Best || Candidate < BestKey) {
-      Best = I;
-      BestKey = Candidate;
-    }
-  }
-  return Best;
+  if (!Request.MayEvict)
+    return std::nullopt;
+  return detail::firstToClose(Open, Use, Now, [&](const CachedConnection &C) {
+    bool Wanted = Request.Waiting && Request.Waiting->count(C.Customer) != 0;
+    return C.Customer != Request.Customer && !Wanted;
+  });
+}
+
+std::optional<std::size_t>
+chooseToClose(const std::vector<CachedConnection> &Open, const CustomerUse &Use,
+              Instant Now) {
+  return detail::firstToClose(Open, Use, Now,
+                              [](const CachedConnection &) { return true; });
 }
 
 std::vector<TransactionToEnd>
--- a/packages/kernel/test/connectioncache-test.cpp
+++ b/packages/kernel/test/connectioncache-test.cpp
@@ -51,6 +51,22 @@
   CHECK(chooseEviction(Open, {}, {"new", nullptr}, Start) == 1);
 }
 
+// Guards against a customer that loses its connection to a status query.
+TEST_CASE("nothing is closed for a request of the proxy itself") {
+  std::vector<CachedConnection> Open = {{"a", false, Start}};
+  CHECK_FALSE(chooseEviction(Open, {}, requestOfProxy(), Start));
+}
+
+// Guards against a server that goes on refusing connections because those
+// without a customer are never closed.
+TEST_CASE("any idle connection is closed if there are too many") {
+  std::vector<CachedConnection> Open = {{"busy", true, Start},
+                                        {"", false, Start}};
+  CHECK(chooseToClose(Open, {}, Start) == 1);
+  Open.pop_back();
+  CHECK_FALSE(chooseToClose(Open, {}, Start));
+}
+
 TEST_CASE("uses are forgotten with time") {
   CustomerUse Use;
   recordUse(Use, "a", Start);
