Run the statements of small customers at the owner in their home domain

Cause: the owner of each failure domain ran statements of all customers on a third of the connections. Change: if there are more customers than connections of an owner, a customer has a home domain for each service (rendezvous hashing), whose owner runs its statements for the callers of all failure domains. A customer whose limit says that it keeps a connection of every owner busy is served in the failure domain of the caller, as before. If the owner there can't be used or can't run the statement, the one of the caller's failure domain runs it. Connections to these owners are opened in advance and kept.

--- a/packages/engine/include/engine/forward.h
+++ b/packages/engine/include/engine/forward.h
@@ -13,6 +13,7 @@
 #define EELGRASSLOOM_ENGINE_FORWARD_H
 
 #include "engine/group.h"
+#include "kernel/homedomain.h"
 #include "kernel/ownership.h"
 #include "kernel/result.h"
 #include "kernel/shutdown.h"
@@ -167,6 +168,8 @@
   /// Time of the ping that has not been answered yet.
   std::optional<Instant> PingedAt;
   Instant LastPing;
+  /// An idle connection to another failure domain is kept until then.
+  Instant KeptUntil;
   /// PeerStream::receivedBytes() when it was last checked.
   std::uint64_t ReceivedBytes = 0;
   /// Statements sent to the other proxy that have no answer yet, by exchange.
@@ -309,6 +312,18 @@
   /// Connection to the first usable owner; null if the statement must run
   /// here. Dials owners that are not connected.
   PeerConnectionRef chooseOwner(std::string_view Service);
+  /// The same for a statement, whose customer may have its connections in
+  /// another failure domain, see homeDomain(). If the owner there can't be
+  /// used, the one of this failure domain runs the statement.
+  PeerConnectionRef chooseOwnerOf(const Job &J);
+  /// The owner in another failure domain, once it is connected.
+  PeerConnectionRef chooseOwnerIn(std::string_view Domain,
+                                  std::string_view Service);
+  /// Connections that each owner of the service may open to a server.
+  OwnerConnections ownerConnections(std::string_view Service) const;
+  /// Connects to the owners that statements may need, and keeps the connections
+  /// to those of other failure domains.
+  void preconnect();
   PeerConnectionRef chooseConnection(const std::vector<ProxyId> &Order,
                                      std::string_view Service);
   /// Returns false if the statement is too long to be sent.
@@ -362,7 +377,13 @@
   ForwarderOptions Options;
   OwnerTable Table;
   std::map<ProxyId, PeerInfo> RegisteredPeers;
+  std::set<std::string> FailureDomains;
   mutable std::map<std::string, std::vector<ProxyId>, std::less<>> OwnerOrders;
+  /// The first owner of each service in other failure domains, by failure
+  /// domain and service.
+  std::map<std::pair<std::string, std::string>, std::vector<ProxyId>,
+           std::less<>>
+      OtherOwners;
   std::map<std::string, std::vector<ProxyId>, std::less<>> FallbackOrders;
   std::map<ProxyId, PeerConnectionRef> Connections;
   std::set<PeerConnectionRef> ReplacedConnections;
--- a/packages/engine/src/forward.cpp
+++ b/packages/engine/src/forward.cpp
@@ -70,15 +70,19 @@
 void StatementForwarder::setPeers(const std::vector<PeerInfo> &Registered) {
   std::map<ProxyId, PeerInfo> Next;
   std::vector<LiveProxy> Live;
+  std::set<std::string> Domains;
   for (const PeerInfo &Peer : Registered) {
     Next[Peer.Id] = Peer;
     Live.push_back({Peer.Id, Peer.FailureDomain, false, Peer.MilliCores});
+    Domains.insert(Peer.FailureDomain);
   }
   if (Next == RegisteredPeers)
     return;
   RegisteredPeers = std::move(Next);
+  FailureDomains = std::move(Domains);
   Table = makeOwnerTable(Live);
   OwnerOrders.clear();
+  OtherOwners.clear();
   FallbackOrders.clear();
   std::vector<PeerConnectionRef> Changed;
   for (const auto &[Id, Connection] : Connections) {
@@ -128,7 +132,7 @@
 
 bool StatementForwarder::forward(const JobRef &J) {
   PeerConnectionRef Connection =
-      J->Pinned ? J->Pinned->Owner : chooseOwner(J->Route.Service);
+      J->Pinned ? J->Pinned->Owner : chooseOwnerOf(*J);
   if (!Connection)
     return false;
   J->ForwardedTo = Connection;
@@ -258,10 +262,17 @@
 /// primary, and the owners among them have connections to it. During a
 /// promotion nobody can run it.
 void StatementForwarder::handleUnservable(const JobRef &J) {
+  bool SentHome = J->FallbackAttempts == 0 &&
+                  J->ForwardedTo->Peer.FailureDomain != FailureDomain;
   J->ForwardedTo.reset();
   auto G = SessionEngine.group(J->Route.Service);
   if (G->refuseRemovedKey(J))
     return;
+  if (SentHome) {
+    // The owner of this failure domain may be able to run it.
+    G->submit(J);
+    return;
+  }
   bool Revoked = G->primaryRecord().Stage == GroupStage::Revoking;
   if (!Revoked && forwardToFallback(J))
     return;
@@ -382,9 +393,7 @@
   if (Now < NextPreconnect)
     return;
   NextPreconnect = Now + detail::PreconnectInterval;
-  for (const auto &[Service, G] : SessionEngine.groups())
-    if (G->usesOwners())
-      chooseOwner(Service);
+  preconnect();
 }
 
 void StatementForwarder::expire(const JobRef &J) {
--- a/packages/engine/src/peerconnection.cpp
+++ b/packages/engine/src/peerconnection.cpp
@@ -3,6 +3,7 @@
 
 #include "engine/engine.h"
 #include "engine/forward.h"
+#include "kernel/connectioncache.h"
 #include <algorithm>
 
 namespace eelgrassloom {
@@ -11,6 +12,9 @@
 /// Number of owners or fallback proxies that are tried, in order, until one has
 /// a usable connection.
 constexpr unsigned MaxOwnersTried = 3;
+/// Connections to the owners in other failure domains are kept for this time
+/// after they were last found useful.
+constexpr Duration OtherOwnerRetention = std::chrono::seconds(1);
 
 } // namespace detail
 
@@ -19,6 +23,56 @@
   return chooseConnection(ownerOrder(Service), Service);
 }
 
+OwnerConnections
+StatementForwarder::ownerConnections(std::string_view Service) const {
+  const auto &Services = SessionEngine.config().Services;
+  auto It = Services.find(Service);
+  unsigned Cap = It == Services.end() ? 1 : It->second.ConnectionCap;
+  return {FailureDomains, customerConnectionShare(Cap, FailureDomains.size())};
+}
+
+StatementForwarder::PeerConnectionRef
+StatementForwarder::chooseOwnerIn(std::string_view Domain,
+                                  std::string_view Service) {
+  std::pair<std::string, std::string> Key(Domain, Service);
+  auto It = OtherOwners.find(Key);
+  if (It == OtherOwners.end()) {
+    std::vector<ProxyId> Order = rankedOwners(Table, Domain, Service);
+    // The next one would have no connections of the customer either.
+    Order.resize(std::min<std::size_t>(1, Order.size()));
+    It = OtherOwners.emplace(std::move(Key), std::move(Order)).first;
+  }
+  return chooseConnection(It->second, Service);
+}
+
+StatementForwarder::PeerConnectionRef
+StatementForwarder::chooseOwnerOf(const Job &J) {
+  const std::string &Service = J.Route.Service;
+  std::string_view Home =
+      homeDomain(SessionEngine.config().Customers, J.Customer, Service,
+                 ownerConnections(Service));
+  if (!Home.empty() && Home != FailureDomain)
+    if (PeerConnectionRef Connection = chooseOwnerIn(Home, Service))
+      return Connection;
+  return chooseOwner(Service);
+}
+
+void StatementForwarder::preconnect() {
+  Instant Now = SessionEngine.runtime().Now();
+  const CustomerTable &Customers = SessionEngine.config().Customers;
+  for (const auto &[Service, G] : SessionEngine.groups()) {
+    if (!G->usesOwners())
+      continue;
+    chooseOwner(Service);
+    if (!dividesCustomers(Customers, ownerConnections(Service)))
+      continue;
+    for (const std::string &Domain : FailureDomains)
+      if (Domain != FailureDomain)
+        if (PeerConnectionRef Owner = chooseOwnerIn(Domain, Service))
+          Owner->KeptUntil = Now + detail::OtherOwnerRetention;
+  }
+}
+
 StatementForwarder::PeerConnectionRef
 StatementForwarder::chooseConnection(const std::vector<ProxyId> &Order,
                                      std::string_view Service) {
@@ -131,6 +185,7 @@
       failConnection(Connection, "replaced");
     else if (Connection->Stream &&
              Connection->Peer.FailureDomain != FailureDomain &&
+             Now >= Connection->KeptUntil &&
              Now - Connection->LastContact >= Options.FallbackIdleTimeout)
       failConnection(Connection, "idle connection to another failure domain");
     return;
--- a/packages/kernel/include/kernel/customers.h
+++ b/packages/kernel/include/kernel/customers.h
@@ -45,6 +45,8 @@
   /// Customer of each key, and of the hash of each key.
   std::map<std::string, CustomerId, std::less<>> ByKey;
   std::map<std::uint64_t, CustomerId> ByKeyHash;
+  /// Sum of the limits of all customers, in operations a second.
+  double TotalRate = 0;
 
   /// False if the deployment has no customers. No key is checked then.
   bool empty() const { return ByName.empty(); }
--- a/packages/kernel/src/customers.cpp
+++ b/packages/kernel/src/customers.cpp
@@ -51,6 +51,8 @@
           {Place, Customer.Name, "a word of printable characters"});
     if (Customer.Limit && !detail::validLimit(*Customer.Limit))
       Findings.push_back({Place + " limit", "", "numbers from 0 to 1e9"});
+    if (Customer.Limit)
+      Table.TotalRate += Customer.Limit->RatePerSecond;
     detail::addKeys(Table, Customer, Findings);
     CustomerId Name = Customer.Name;
     if (!Table.ByName.emplace(Name, std::move(Customer)).second)
