Compute the loads of servers for each waiting statement again

Cause: kept the loads by customer within one pass over the queue. In a pass a statement of one customer can close the idle connection of another, whose kept loads still told that it was connected. Change: the loads are computed for each statement, as before.

--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -277,16 +277,13 @@
         });
     std::rotate(Order.begin(), LeastUrgent, LeastUrgent + 1);
   }
-  // They differ by customer, and are valid until a statement starts.
-  std::map<std::string_view, std::vector<ServerLoad>> Loads;
+  std::vector<ServerLoad> Loads;
   for (const JobRef &J : Order) {
     if (J->Finished || !J->Waiting)
       continue;
-    auto [It, Added] = Loads.try_emplace(
-        PerCustomer ? std::string_view(J->Customer) : std::string_view());
-    if (Added)
-      It->second = serverLoads(J->Customer, Now);
-    if (!tryStart(J, It->second, Now))
+    if (Loads.empty() || PerCustomer)
+      Loads = serverLoads(J->Customer, Now);
+    if (!tryStart(J, Loads, Now))
       continue;
     Starts =
         J == Order.front() && Starts >= AntiStarvationInterval ? 0 : Starts + 1;
