--- a/tests/fleet/answers-test.cpp
+++ b/tests/fleet/answers-test.cpp
@@ -135,6 +135,7 @@
   expect(Two.run(Other), OUTCOME_FAILED, REASON_REQUEST_ID_REUSED);
   // A transaction of another caller.
   RunAnswer Begun = Two.run(step("db1", "urgent", STEP_BEGIN));
+  expect(Begun, OUTCOME_OK, REASON_NONE);
   REQUIRE(Begun.outcome() == OUTCOME_OK);
   RunRequest InTransaction = request("db1", "urgent", put("other", "y"));
   InTransaction.set_transaction(Begun.transaction());
