Admit waiting operations when the limit of their customer is removed

Cause: holders do not answer requests for a customer without a limit, so that operations that waited for a token while the limit was removed were refused after 80 ms. Change: the check of an unanswered request admits them. Result: the new case fails without the change (0 of 5 admitted, 5 refused) and passes now.

--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -140,6 +140,8 @@
   void handleGrant(const CustomerId &Customer, std::uint64_t Exchange,
                    const TokenGrant &Grant);
   void refuseOverdue(Requester &R);
+  /// Admits the waiting operations of a customer that has no limit any more.
+  void admitAll(Requester &R);
   OperationPermit refusal(Duration RetryAfter);
   /// Returns the token of an operation that did not run to its holder.
   void giveBack(const CustomerId &Customer);
--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -148,6 +148,10 @@
   if (It == Requesters.end() || It->second.Exchange != Exchange)
     return;
   Requester &R = It->second;
+  if (limitOf(Customer) == nullptr) {
+    admitAll(R);
+    return;
+  }
   auto Unanswered = UnansweredSince.find(R.Holder);
   if (Unanswered != UnansweredSince.end() &&
       now() - Unanswered->second >= Options.HolderTimeout) {
@@ -165,6 +169,14 @@
     sendRequest(Customer, R);
 }
 
+void CustomerLimits::admitAll(Requester &R) {
+  R.Exchange = 0;
+  std::deque<WaitingOperation> Waiting = std::move(R.Waiting);
+  R.Waiting.clear();
+  for (const WaitingOperation &Operation : Waiting)
+    Operation.Done({true, {}});
+}
+
 void CustomerLimits::refuseOverdue(Requester &R) {
   std::vector<PermitHandler> Overdue;
   while (!R.Waiting.empty() &&
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -86,6 +86,16 @@
       P->SessionEngine->applyConfig(config(Version, NewRate));
   }
 
+  /// A version of the configuration in which the customer has no limit.
+  void removeLimit() {
+    ++Version;
+    RoutingConfig Config;
+    Config.Version = Version;
+    Config.Customers = makeCustomerTable({{"customer", {"key"}, {}}}).value();
+    for (auto &P : Proxies)
+      P->SessionEngine->applyConfig(Config);
+  }
+
   void begin(LimitedProxy &P) {
     if (!P.Running)
       return;
@@ -300,6 +310,26 @@
   CHECK(F.Admitted.size() >= 10 * Rate / 10 / 2);
 }
 
+// Guards against operations that are refused although their customer has no
+// limit any more, because holders don't answer for it.
+TEST_CASE("operations that wait are admitted when the limit is removed") {
+  LimitedFleet F(3, 8);
+  ProxyId LastHolder = F.holders("a").back();
+  auto It = std::find_if(F.Proxies.begin(), F.Proxies.end(),
+                         [&](const auto &P) { return P->Id == LastHolder; });
+  LimitedProxy &P = **It;
+  for (auto &Other : F.Proxies)
+    Other->Running = Other.get() == &P;
+  for (int I = 0; I < 5; ++I)
+    F.begin(P);
+  F.advance(10ms);
+  REQUIRE(F.Admitted.empty());
+  F.removeLimit();
+  F.advance(100ms);
+  CHECK(F.Admitted.size() == 5);
+  CHECK(F.Refused == 0);
+}
+
 // Guards against tokens that are made by lost messages, restarts and
 // partitions.
 TEST_CASE("no schedule of failures exceeds the limit") {
