Ask holders of other failure domains for tokens if both own ones are silent

A silent holder was also tried again each second with a real request, so that an operation waited for it in vain. Change: after its own two, a proxy asks the first holders of the other failure domains, in an order of its own. They grant tokens of their shares, so that none are made. Silent holders are probed with a request for no tokens.

--- a/packages/control/include/control/customerlimits.h
+++ b/packages/control/include/control/customerlimits.h
@@ -53,7 +53,8 @@
   Duration MaxWait = std::chrono::milliseconds(80);
   /// A holder that has not answered for this time is passed over.
   Duration HolderTimeout = std::chrono::milliseconds(40);
-  /// A holder that was passed over is tried again after this time.
+  /// A holder that was passed over is asked for no tokens this often. It is
+  /// used again once it answers, so that no operation waits for it.
   Duration HolderRetry = std::chrono::seconds(1);
   /// A holder waits this long for tokens of other failure domains.
   Duration BorrowWait = std::chrono::milliseconds(25);
@@ -134,6 +135,8 @@
   void acquire(const CustomerId &Customer, PermitHandler Done);
   void request(const CustomerId &Customer, Requester &R);
   void sendRequest(const CustomerId &Customer, const Requester &R);
+  /// Asks the holders that are passed over whether they answer again.
+  void probeSilentHolders(const CustomerId &Customer);
   /// Sends the request again, passes over a silent holder, and refuses
   /// operations that have waited for too long.
   void checkRequest(const CustomerId &Customer, std::uint64_t Exchange);
@@ -182,8 +185,8 @@
   OwnerTable Table;
   std::map<CustomerId, Requester, std::less<>> Requesters;
   std::map<CustomerId, HeldBucket, std::less<>> Buckets;
-  /// Holders that are passed over until the time given.
-  std::map<ProxyId, Instant, std::less<>> SilentUntil;
+  /// Holders that are passed over, and when each of them is probed next.
+  std::map<ProxyId, Instant, std::less<>> NextProbe;
   /// When the oldest request without an answer was sent to a holder.
   std::map<ProxyId, Instant, std::less<>> UnansweredSince;
 };
--- a/packages/control/src/customerlimits.cpp
+++ b/packages/control/src/customerlimits.cpp
@@ -46,6 +46,9 @@
   if (Next == Registered)
     return;
   Registered = std::move(Next);
+  std::erase_if(NextProbe, [this](const auto &Entry) {
+    return Registered.count(Entry.first) == 0;
+  });
   HolderSince = now();
   Table = makeOwnerTable(Live);
   Domains.clear();
@@ -87,11 +90,21 @@
   // Before the first list of proxies is read, there is only this one.
   if (Holders.empty())
     return Self;
-  for (const ProxyId &Id : Holders) {
-    auto It = SilentUntil.find(Id);
-    if (It == SilentUntil.end() || now() >= It->second)
+  // Holders of other failure domains grant tokens of their own shares. Each
+  // proxy has an order of its own, so that no share is used up by all.
+  std::vector<ProxyId> Others;
+  for (const std::string &Domain : Domains)
+    if (Domain != FailureDomain)
+      Others.push_back(holdersIn(Domain, Customer).front());
+  if (!Others.empty())
+    std::rotate(Others.begin(),
+                Others.begin() + static_cast<std::ptrdiff_t>(hashOfKey(Self) %
+                                                             Others.size()),
+                Others.end());
+  Holders.insert(Holders.end(), Others.begin(), Others.end());
+  for (const ProxyId &Id : Holders)
+    if (NextProbe.count(Id) == 0)
       return Id;
-  }
   return Holders.front();
 }
 
@@ -118,6 +131,19 @@
       tokensToRequest(R.Own, static_cast<unsigned>(R.Waiting.size()), now());
   R.Holder = chooseHolder(Customer);
   sendRequest(Customer, R);
+  probeSilentHolders(Customer);
+}
+
+void CustomerLimits::probeSilentHolders(const CustomerId &Customer) {
+  for (auto &[Id, ProbeAt] : NextProbe) {
+    if (now() < ProbeAt)
+      continue;
+    ProbeAt = now() + Options.HolderRetry;
+    Send(
+        addressOf(Id),
+        encode(LimitMessage{
+            LimitMessageKind::Request, Self, ++NextExchange, Customer, 0, {}}));
+  }
 }
 
 void CustomerLimits::sendRequest(const CustomerId &Customer,
@@ -155,7 +181,7 @@
   auto Unanswered = UnansweredSince.find(R.Holder);
   if (Unanswered != UnansweredSince.end() &&
       now() - Unanswered->second >= Options.HolderTimeout) {
-    SilentUntil[R.Holder] = now() + Options.HolderRetry;
+    NextProbe[R.Holder] = now() + Options.HolderRetry;
     UnansweredSince.erase(Unanswered);
   }
   refuseOverdue(R);
@@ -250,7 +276,7 @@
   }
   const LimitMessage &M = Decoded.value();
   UnansweredSince.erase(M.From);
-  SilentUntil.erase(M.From);
+  NextProbe.erase(M.From);
   switch (M.Kind) {
   case LimitMessageKind::Request:
     handleRequest(M.Customer, {FromAddress, M.Exchange, M.Tokens});
--- a/packages/control/test/customerlimits-test.cpp
+++ b/packages/control/test/customerlimits-test.cpp
@@ -288,6 +288,21 @@
   CHECK((F.Refused - RefusedBefore) * 10 <= F.Begun - BegunBefore);
 }
 
+// Guards against callers that are refused because their proxy reaches neither
+// the holder nor the deputy of its failure domain.
+TEST_CASE("a proxy without holders uses those of other failure domains") {
+  LimitedFleet F(10, 9);
+  std::vector<ProxyId> Lost = F.holders("a");
+  Lost.resize(2);
+  for (auto &P : F.Proxies)
+    P->Running = std::find(Lost.begin(), Lost.end(), P->Id) == Lost.end();
+  F.run(0.5 * Rate, 2s); // The others find out that they are silent.
+  std::size_t RefusedBefore = F.Refused;
+  std::size_t BegunBefore = F.Begun;
+  F.run(0.5 * Rate, 10s);
+  CHECK((F.Refused - RefusedBefore) * 10 <= F.Begun - BegunBefore);
+}
+
 // Guards against proxies that each grant the whole share before they have read
 // the list of proxies, after a restart of all of them.
 TEST_CASE("proxies that don't know each other stay near the limit") {
