Review: two cases that earlier ones show are dropped, case 9 becomes 6

The frozen lock holder is review/3 and the replica that drains without a poller is review/other/drain. Their scenarios stay in the stand-in (frozen-holder, drain-without-poller).

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 program=target/platform/eelgrassloom-platform
 standin=target/review-2/review-2
 [ -x "$program" ] && [ -x "$standin" ] || exit 2
-exec "$standin" frozen-holder "$program" review/6
+exec "$standin" config-after-drill "$program" review/6
