Review case 9: long session values exceed the memory of the machine

Cause: the values and prepared statements of sessions, up to 4 MiB each, are not part of the account of the bytes that are held for callers.

Adds the case, and the scenario of case 10 in the stand-in.

--- a/review/standin-2/cases.cpp
+++ b/review/standin-2/cases.cpp
@@ -328,6 +328,84 @@
   return C.report("STALE");
 }
 
+/// Sessions that set long values, in messages of legal size, at two of seven
+/// machines. Their processes exceed the memory of the machine.
+int longSessionState(const std::string &Program, const std::string &Directory,
+                     bool Trouble) {
+  constexpr std::size_t Sessions = 80;
+  constexpr std::size_t LongBytes = 1'040'000;
+  constexpr std::size_t ShortBytes = 100;
+  Case C(Program, Directory);
+  C.F.addService("kern-1", 20ms);
+  C.F.addProxies(ProxyCount);
+  C.F.configure(7, {{"orders", "kern-1", "primary"}});
+  C.F.startProxies();
+  C.addLoad("orders", "kern-1", 500ms);
+  std::vector<std::shared_ptr<LongState>> Crowd;
+  for (std::size_t I = 0; I < 2 * Sessions; ++I) {
+    auto Member = std::make_shared<LongState>(C.F, *C.F.Proxies[I % 2],
+                                              "orders", "c" + std::to_string(I),
+                                              Trouble ? LongBytes : ShortBytes);
+    Crowd.push_back(Member);
+    C.at(10s + I * 20ms, [Member] { Member->start(); });
+  }
+  C.run(60s);
+  unsigned Machines = 0;
+  for (const auto &P : C.F.Proxies) {
+    record(P->Name + ": at most " + std::to_string(P->MostMemory >> 20) +
+           " MB, ended " + std::to_string(P->MemoryEnds) + " times");
+    Machines += P->MemoryEnds >= 3 ? 1 : 0;
+  }
+  if (Machines >= 2)
+    C.F.Facts.Broken.push_back(
+        "Fault: processes on " + std::to_string(Machines) +
+        " machines of 7 ended three times or more because of their memory");
+  return C.report("Fault");
+}
+
+/// Sessions that set many values at one machine keep its process from serving
+/// anybody else.
+int manyValues(const std::string &Program, const std::string &Directory,
+               bool Trouble) {
+  constexpr std::size_t Sessions = 100;
+  constexpr unsigned MostNames = 1'000'000;
+  constexpr unsigned FewNames = 10;
+  // The longest deadline of the site's clients.
+  constexpr Duration HangTime = 8s;
+  Case C(Program, Directory);
+  C.F.addService("kern-1", 20ms);
+  C.F.addProxies(ProxyCount);
+  C.F.configure(7, {{"orders", "kern-1", "primary"}});
+  C.F.startProxies();
+  C.addLoad("orders", "kern-1", 200ms);
+  std::vector<std::shared_ptr<ManyValues>> Crowd;
+  for (std::size_t I = 0; I < Sessions; ++I) {
+    auto Member = std::make_shared<ManyValues>(C.F, *C.F.Proxies[0], "orders",
+                                               "m" + std::to_string(I),
+                                               Trouble ? MostNames : FewNames);
+    Crowd.push_back(Member);
+    C.at(10s, [Member] { Member->start(); });
+  }
+  for (int Second = 12; Second <= 90; Second += 6)
+    C.at(std::chrono::seconds(Second), [&] {
+      unsigned Sum = 0;
+      for (const auto &Member : Crowd)
+        Sum += Member->Answers;
+      record("the crowd has " + std::to_string(Sum) + " answers");
+    });
+  C.run(90s);
+  for (const auto &L : C.Loads) {
+    double Wait = std::chrono::duration<double>(L->longestWait()).count();
+    record("client " + L->name() + " at " + L->machine() + " has waited " +
+           std::to_string(Wait) + " s for an answer");
+    if (L->longestWait() > HangTime)
+      C.F.Facts.Broken.push_back("Fault: the process on " + L->machine() +
+                                 " has let client " + L->name() + " wait " +
+                                 std::to_string(Wait) + " s for an answer");
+  }
+  return C.report("Fault");
+}
+
 } // namespace
 
 int runCase(const std::string &Name, const std::string &Program,
@@ -342,6 +420,10 @@
     return drainWithoutPoller(Program, Directory, Trouble);
   if (Name == "moved-route")
     return movedRoute(Program, Directory, Trouble);
+  if (Name == "long-session-state")
+    return longSessionState(Program, Directory, Trouble);
+  if (Name == "many-values")
+    return manyValues(Program, Directory, Trouble);
   throw std::invalid_argument("no case " + Name);
 }
 
--- a/review/standin-2/fleet.cpp
+++ b/review/standin-2/fleet.cpp
@@ -1,4 +1,5 @@
 #include "fleet.h"
+#include <algorithm>
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
@@ -6,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace review {
 
@@ -17,6 +19,12 @@
                                                "augsburg", "rosenheim"};
 constexpr Duration DrainTime = 7s;
 constexpr Duration RestartDelay = 500ms;
+/// limits.memoryMb of the settings.
+constexpr std::size_t MemoryLimit = std::size_t{260} << 20;
+/// Values that a client of a LongState sets.
+constexpr unsigned LongValues = 4;
+/// Statements that a client of ManyValues sends ahead.
+constexpr unsigned ManyValuesBatch = 200;
 
 } // namespace
 
@@ -225,9 +233,36 @@
   return nullptr;
 }
 
+void Fleet::checkMemory() {
+  for (const auto &P : Proxies) {
+    if (P->Pid == 0)
+      continue;
+    std::ifstream In("/proc/" + std::to_string(P->Pid) + "/statm");
+    std::size_t Total = 0;
+    std::size_t Resident = 0;
+    In >> Total >> Resident;
+    Resident *= static_cast<std::size_t>(getpagesize());
+    P->MostMemory = std::max(P->MostMemory, Resident);
+    if (Resident <= MemoryLimit)
+      continue;
+    ++P->MemoryEnds;
+    record("platform: " + P->Name + " has " + std::to_string(Resident >> 20) +
+           " MB of 260 and is killed");
+    signal(*P, SIGKILL);
+    int Status = 0;
+    waitpid(P->Pid, &Status, 0);
+    P->Pid = 0;
+    runAfter(Loop, RestartDelay, [this, &P = *P] {
+      if (!Stopped)
+        startProxy(P);
+    });
+  }
+}
+
 void Fleet::tick() {
   if (Stopped)
     return;
+  checkMemory();
   for (const auto &S : Services)
     S->replicate();
   publishServers();
@@ -310,8 +345,6 @@
 }
 
 void Load::next() {
-  if (Stopped)
-    return;
   if (!Session->open()) {
     Session->start(
         At.Port, Database,
@@ -323,6 +356,7 @@
                          ? "WRITE item" + std::to_string(Count % 5) + " v" + Id
                          : "READ item" + std::to_string(Count % 5);
   F.Facts.Requests[Id] = {Text, now()};
+  SentAt = now();
   record("client " + Name + " sends " + Id + " " + Text + " to " + At.Name);
   Session->query(Id, "QUERY " + Id + " " + Text + "\r\n",
                  [Self = shared_from_this(), Id](const Client::Answer &A) {
@@ -331,17 +365,22 @@
                  });
 }
 
+Duration Load::longestWait() const {
+  return SentAt ? std::max(LongestWait, now() - *SentAt) : LongestWait;
+}
+
 void Load::handle(const std::string &Id, const Client::Answer &A) {
   record("client " + Name + ": " + Id + " " +
          (A.Lost           ? std::string("got no answer")
           : A.Code.empty() ? "succeeded"
                            : "got " + A.Code));
+  LongestWait = longestWait();
+  SentAt.reset();
   if (A.Lost || !A.Code.empty()) {
     ++Refused;
     return;
   }
   ++Succeeded;
-  LastSuccess = now();
   Oracle &Facts = F.Facts;
   if (Writes) {
     Facts.Commits.push_back({now(), ServiceName, Id});
@@ -387,4 +426,105 @@
       });
 }
 
+void LongState::start() {
+  Socket = tcp::socket(F.Loop);
+  Input.clear();
+  Sent = 0;
+  Socket.async_connect(
+      {asio::ip::make_address("127.0.0.1"), At.Port},
+      [Self = shared_from_this()](error_code Error) {
+        if (Error) {
+          runAfter(Self->F.Loop, 500ms, [Self] { Self->start(); });
+          return;
+        }
+        Self->Output = "START " + Self->Database + " " + Self->Name + "\r\n";
+        Self->send();
+        Self->read();
+      });
+}
+
+void LongState::send() {
+  asio::async_write(Socket, asio::buffer(Output),
+                    [Self = shared_from_this()](error_code, std::size_t) {
+                      // The pending read reports a broken socket.
+                    });
+}
+
+void LongState::read() {
+  Socket.async_read_some(
+      asio::buffer(Buffer),
+      [Self = shared_from_this()](error_code Error, std::size_t Count) {
+        if (Error) {
+          runAfter(Self->F.Loop, 500ms, [Self] { Self->start(); });
+          return;
+        }
+        Self->Input.append(Self->Buffer.data(), Count);
+        if (Self->Input.find("ERR ") != std::string::npos)
+          record("client " + Self->Name + " got " + Self->Input.substr(0, 60));
+        if (Self->Input.find("READY ") != std::string::npos) {
+          Self->Input.clear();
+          if (Self->Sent < LongValues) {
+            std::string Id = Self->Name + "x" + std::to_string(++Self->Sent);
+            Self->Output = "QUERY " + Id + " SET v" +
+                           std::to_string(Self->Sent) + " " +
+                           std::string(Self->Bytes, 'v') + "\r\n";
+            Self->send();
+          } else {
+            record("client " + Self->Name + " has set " +
+                   std::to_string(LongValues) + " values of " +
+                   std::to_string(Self->Bytes) + " bytes at " + Self->At.Name);
+          }
+        }
+        Self->read();
+      });
+}
+
+void ManyValues::start() {
+  Socket.async_connect(
+      {asio::ip::make_address("127.0.0.1"), At.Port},
+      [Self = shared_from_this()](error_code Error) {
+        if (Error)
+          return;
+        Self->Output = "START " + Self->Database + " " + Self->Name + "\r\n";
+        asio::async_write(Self->Socket, asio::buffer(Self->Output),
+                          [Self](error_code, std::size_t) {});
+        Self->read();
+      });
+}
+
+void ManyValues::sendBatch() {
+  Output.clear();
+  for (unsigned I = 0; I < ManyValuesBatch; ++I) {
+    std::string Number = std::to_string(++Sent);
+    Output += "QUERY " + Name + "x" + Number + " SET n" +
+              std::to_string(Sent % Distinct) + " v\r\n";
+  }
+  Expected = ManyValuesBatch;
+  asio::async_write(Socket, asio::buffer(Output),
+                    [Self = shared_from_this()](error_code, std::size_t) {
+                      // The pending read reports a broken socket.
+                    });
+}
+
+void ManyValues::read() {
+  Socket.async_read_some(
+      asio::buffer(Buffer),
+      [Self = shared_from_this()](error_code Error, std::size_t Count) {
+        if (Error) {
+          record("client " + Self->Name + " has lost its connection");
+          return;
+        }
+        // Each answer ends with a line READY; its last letter is not used in
+        // other lines.
+        auto Lines = static_cast<unsigned>(std::count(
+            Self->Buffer.begin(),
+            Self->Buffer.begin() + static_cast<std::ptrdiff_t>(Count), 'Y'));
+        Self->Answers += Lines;
+        Self->Expected -= std::min(Self->Expected, Lines);
+        if (Self->Expected == 0)
+          Self->sendBatch();
+        Self->read();
+      });
+}
+
 } // namespace review
--- a/review/standin-2/fleet.h
+++ b/review/standin-2/fleet.h
@@ -6,6 +6,7 @@
 
 #include "database.h"
 #include "store.h"
+#include <optional>
 #include <sys/types.h>
 
 namespace review {
@@ -21,6 +22,9 @@
   pid_t Pid = 0;
   /// Not restarted when it ends.
   bool Removed = false;
+  /// Most memory that was seen, and how often it exceeded memoryMb.
+  std::size_t MostMemory = 0;
+  unsigned MemoryEnds = 0;
 };
 
 /// One session that sends one request after the other.
@@ -83,6 +87,8 @@
                  const std::vector<std::array<std::string, 3>> &Routes);
   /// Ends all processes.
   void stop();
+  /// Ends processes that exceed memoryMb, as the platform does.
+  void checkMemory();
   /// Writes the entries of all servers that run.
   void publishServers();
 
@@ -114,13 +120,16 @@
         Writes(Writes), Interval(Interval) {}
 
   void run();
-  void stop() { Stopped = true; }
+  const std::string &name() const { return Name; }
+  const std::string &machine() const { return At.Name; }
 
   /// The route type is primary, so that a read must see all commits.
   bool ReadsLatest = true;
   unsigned Succeeded = 0;
   unsigned Refused = 0;
-  Instant LastSuccess;
+  /// The longest time from a request to its answer, or until now if there is
+  /// none.
+  Duration longestWait() const;
 
 private:
   void next();
@@ -136,7 +145,9 @@
   const Duration Interval;
   std::shared_ptr<Client> Session;
   unsigned Count = 0;
-  bool Stopped = false;
+  /// When the request in progress was sent.
+  std::optional<Instant> SentAt;
+  Duration LongestWait{0};
 };
 
 /// One session that sends single requests when it is told to.
@@ -156,6 +167,64 @@
   unsigned Count = 0;
 };
 
+/// A session whose client sets long values, each in a message of legal size,
+/// and then stays idle. Starts again when its connection ends.
+class LongState : public std::enable_shared_from_this<LongState> {
+public:
+  /// \p Bytes: length of each of the values.
+  LongState(Fleet &F, Proxy &At, std::string Database, std::string Name,
+            std::size_t Bytes)
+      : F(F), At(At), Database(std::move(Database)), Name(std::move(Name)),
+        Bytes(Bytes), Socket(F.Loop) {}
+
+  void start();
+
+private:
+  void send();
+  void read();
+
+  Fleet &F;
+  Proxy &At;
+  const std::string Database;
+  const std::string Name;
+  const std::size_t Bytes;
+  tcp::socket Socket;
+  std::string Output;
+  std::string Input;
+  std::array<char, 512> Buffer{};
+  unsigned Sent = 0;
+};
+
+/// A session whose client sets many short values, a batch of them ahead at a
+/// time.
+class ManyValues : public std::enable_shared_from_this<ManyValues> {
+public:
+  /// \p Distinct: number of names that are used.
+  ManyValues(Fleet &F, Proxy &At, std::string Database, std::string Name,
+             unsigned Distinct)
+      : F(F), At(At), Database(std::move(Database)), Name(std::move(Name)),
+        Distinct(Distinct), Socket(F.Loop) {}
+
+  void start();
+
+  unsigned Answers = 0;
+
+private:
+  void sendBatch();
+  void read();
+
+  Fleet &F;
+  Proxy &At;
+  const std::string Database;
+  const std::string Name;
+  const unsigned Distinct;
+  tcp::socket Socket;
+  std::string Output;
+  std::array<char, 65536> Buffer{};
+  unsigned Sent = 0;
+  unsigned Expected = 1;
+};
+
 } // namespace review
 
 #endif // REVIEW_FLEET_H
