Review: runs that start together take different ports

Cause: the first port was derived from the time, so runs that started in the same millisecond took the same ones.

--- a/review/standin-2/common.cpp
+++ b/review/standin-2/common.cpp
@@ -1,6 +1,8 @@
 #include "common.h"
 #include <cstdio>
 #include <fstream>
+#include <memory>
+#include <vector>
 
 namespace review {
 namespace {
@@ -10,6 +12,17 @@
 /// Below the ephemeral ports of outgoing connections.
 constexpr std::uint16_t FirstPort = 21000;
 constexpr std::uint16_t LastPort = 31000;
+constexpr std::uint16_t BlockPorts = 100;
+
+/// Binds a port of 127.0.0.1 without listening; false if it is in use.
+bool bindPort(tcp::acceptor &A, std::uint16_t Port) {
+  error_code Error;
+  A.open(tcp::v4());
+  A.bind({asio::ip::make_address("127.0.0.1"), Port}, Error);
+  if (Error)
+    A.close();
+  return !Error;
+}
 
 } // namespace
 
@@ -41,15 +54,25 @@
 }
 
 std::uint16_t freePort(asio::io_context &Loop) {
-  static std::uint16_t Next = static_cast<std::uint16_t>(
-      FirstPort + (Clock::now().time_since_epoch().count() / 1000) % 9000);
+  // The first port of a block is kept bound, so that runs at the same time take
+  // other blocks.
+  // Never destroyed, because the loop ends before static objects do.
+  static auto &Guards = *new std::vector<std::unique_ptr<tcp::acceptor>>();
+  static std::uint16_t Next = 0;
+  static std::uint16_t End = 0;
   while (true) {
-    Next = Next + 1 >= LastPort ? FirstPort : Next + 1;
+    if (Next == End) {
+      Next = Guards.empty() || End >= LastPort ? FirstPort : End;
+      auto Guard = std::make_unique<tcp::acceptor>(Loop);
+      while (!bindPort(*Guard, Next))
+        Next = Next + BlockPorts >= LastPort ? FirstPort : Next + BlockPorts;
+      End = Next + BlockPorts;
+      Guards.push_back(std::move(Guard));
+    }
+    if (++Next == End)
+      continue;
     tcp::acceptor Probe(Loop);
-    error_code Error;
-    Probe.open(tcp::v4());
-    Probe.bind({asio::ip::make_address("127.0.0.1"), Next}, Error);
-    if (!Error)
+    if (bindPort(Probe, Next))
       return Next;
   }
 }
