--- a/packages/control/include/control/coordinator.h
+++ b/packages/control/include/control/coordinator.h
@@ -101,6 +101,17 @@
   /// Statements in progress on a revoked primary may run for this long before
   /// the proxy acknowledges the revocation.
   Duration QuiesceTime = std::chrono::milliseconds(400);
+  /// Time after this proxy has seen a new era of the store, within which the
+  /// proxies write back the primary records that the store has lost. Longer
+  /// than a lease, and than it takes each proxy to learn of the era and to
+  /// poll.
+  Duration RecordRestoreTime = std::chrono::seconds(3);
+  /// Upper limit of the random delay before a proxy writes a lost record back;
+  /// the pollers do it first.
+  Duration MaxRestoreDelay = std::chrono::milliseconds(300);
+  /// Number of records that the holder of the promotion lock confirms in each
+  /// step, so that the write rate of the store is not exceeded.
+  unsigned ConfirmationsPerStep = 20;
   /// Longest time that a watch waits for a change.
   Duration WatchTime = std::chrono::seconds(25);
 };
@@ -155,6 +166,9 @@
   struct KnownGroup {
     PrimaryRecord Record;
     std::uint64_t Revision = 0;
+    /// The store has lost Record: it has an older one, or none, under Revision.
+    /// Record is written back at this time.
+    std::optional<Instant> RestoreAt;
     /// A poll in this run of the process has read the key. Before that, records
     /// from peers are ignored, because they may be older than what an earlier
     /// run of this proxy has acknowledged.
@@ -229,9 +243,32 @@
   /// Handles a record that another proxy has read from the store.
   void handlePeerRecord(const StoredRecord &Record);
   void applyRegistration(const StoreItem &Item);
+  /// Peers extend no primary lease until polls have verified the records again.
+  void clearVerifiedEpochs();
   void renewLeases(const std::vector<StoreCondition> &Conditions,
                    Instant SentAt);
   void setStoreReachable(bool Answered);
+
+  // Eras of the store, see kernel/storeera.h.
+  void handleNewEra(StoreEra Next);
+  /// The record was written or confirmed in this era, so no later one is lost.
+  /// Only such a record gives primary leases by polls: until the holder of the
+  /// promotion lock has confirmed it, another proxy may know a later one.
+  bool confirmed(const PrimaryRecord &Record) const;
+  /// Some record in use is not confirmed since the era has changed.
+  bool awaitsConfirmation() const;
+  /// The store may have lost a later record, or the first one.
+  bool mayBeLost(const PrimaryRecord &Record) const;
+  /// The holder of the promotion lock may confirm the record: the proxies have
+  /// had the time to write a lost one back.
+  bool mayConfirm(const PrimaryRecord &Record) const;
+  /// Writes the record again, as one of this era.
+  void confirmRecord(KnownGroup &G);
+  /// Notes that the store has \p Older in place of the known record.
+  void noteLostRecord(KnownGroup &G, const StoreItem &Older);
+  /// Writes back the records that are due.
+  void restoreRecords();
+  void restoreRecord(const std::string &Service, KnownGroup &G);
   void updateIsolation();
   void handleRelayedPoll(const RelayedPoll &Poll);
   /// Peers may extend a primary lease only if this proxy has verified its epoch
@@ -331,6 +368,9 @@
   void perform(const std::string &Service, const PromotionAction &Action);
   void writePrimaryRecord(const std::string &Service,
                           const WritePrimaryRecord &Action);
+  /// Sends the change of a record, with \p Change as its other parts.
+  void sendPrimaryRecord(const std::string &Service,
+                         const WritePrimaryRecord &Action, StoreChange Change);
   void queryStatuses(const std::string &Service);
   void evict(const EvictProxy &Action);
   void promote(const std::string &Service, const UpstreamId &Server);
@@ -363,6 +403,9 @@
   ProxyRecord DesiredRegistration;
   ProxyRecord StoredRegistration;
   std::uint64_t RegistrationRevision = 0;
+  /// Latest era of the store, and when this proxy first saw it.
+  StoreEra Era = 0;
+  Instant EraSeenAt;
   /// Earliest time of the next write after one that got no answer or was
   /// rejected.
   Instant NextRegistrationWrite;
@@ -400,6 +443,8 @@
   bool EarlierExtensionsEnded = false;
   /// Poll when the calls in progress are answered, see pollSoon().
   bool PollAgain = false;
+  /// This proxy has seen an earlier era of the store.
+  bool EraChanged = false;
   bool Isolated = false;
   bool ReadingProxies = false;
   bool StoreReachable = true;
--- a/packages/control/include/control/peers.h
+++ b/packages/control/include/control/peers.h
@@ -12,6 +12,7 @@
 #include "kernel/leaseextension.h"
 #include "kernel/promotion.h"
 #include "kernel/result.h"
+#include "kernel/storeera.h"
 #include <random>
 
 namespace eelgrassloom {
@@ -40,6 +41,8 @@
 
 /// Result of the last poll of a proxy, as sent to its peers.
 struct StoreSummary {
+  /// Latest era of the store that the proxy has seen.
+  StoreEra Era = 0;
   std::uint64_t ConfigRevision = 0;
   /// Start of the poll.
   Instant PolledAt;
@@ -61,6 +64,8 @@
   std::uint64_t Exchange = 0;
   KnownEpochs Epochs;
   std::vector<PeerPosition> Positions;
+  /// Latest era of the store that the sender has seen.
+  StoreEra Era = 0;
   std::uint64_t ConfigRevision = 0;
   /// Time since the start of the sender's last poll.
   Duration PollAge{0};
--- a/packages/control/include/control/servers.h
+++ b/packages/control/include/control/servers.h
@@ -67,6 +67,9 @@
   /// Notes that the store did not answer. Entries may expire meanwhile, so
   /// missing ones are kept for MissingGrace.
   void handleStoreFailure() { StoreFailedAt = SessionEngine.runtime().Now(); }
+  /// Notes that the store has come back from a copy. Its entries may be seconds
+  /// old, or missing, until the servers have written them again.
+  void handleStoreReturn() { handleStoreFailure(); }
   /// Compares the list with that of the poller and reads again if they differ.
   void compare(std::uint64_t PollerDigest);
   /// Reads a list that another proxy has advertised from that proxy at
@@ -96,6 +99,13 @@
   void apply(const std::vector<StoreItem> &Items);
   /// Adds entries that may be missing only because of an outage of the store.
   void keepMissing(std::vector<ServerEntry> &Next);
+  /// Keeps servers draining that a store that has come back from a copy shows
+  /// as they were before.
+  void keepDraining(std::vector<ServerEntry> &Next) const;
+  /// Entries may be missing, or old, because the store was away.
+  bool storeFailedRecently() const {
+    return SessionEngine.runtime().Now() - StoreFailedAt < Options.MissingGrace;
+  }
   void set(std::vector<ServerEntry> Next, std::uint64_t NewRevision);
   void applyPeerList(const ProxyId &From, const ServersList &List);
   void readProxy(const ProxyId &From, const std::string &Address);
--- a/packages/control/include/control/store.h
+++ b/packages/control/include/control/store.h
@@ -7,6 +7,7 @@
 
 #include "kernel/promotion.h"
 #include "kernel/result.h"
+#include "kernel/storeera.h"
 #include <functional>
 #include <memory>
 #include <optional>
@@ -16,6 +17,7 @@
 namespace eelgrassloom {
 
 /// A key of the store with its value. Revision 0 means that the key is absent.
+/// Revisions begin with the era of the store, see kernel/storeera.h.
 struct StoreItem {
   std::string Key;
   std::string Value;
@@ -78,12 +80,16 @@
   AllowStale,
 };
 
-/// Interface to the key-value store. Each call is answered exactly once.
+/// Interface to the key-value store. Each call is answered exactly once. An
+/// answer from an earlier era than the latest known one, and the success of a
+/// call that was sent in an earlier one, are delivered as NoAnswer; a condition
+/// on a revision of an earlier era does not hold.
 /// The timeout limits the time without any byte of the answer, so that a large
 /// answer may take longer; after it the code is NoAnswer.
 class Store {
 public:
   using Handler = std::function<void(StoreReply)>;
+  using EraHandler = std::function<void(StoreEra)>;
 
   virtual ~Store() = default;
   /// Reads all items under a prefix.
@@ -98,6 +104,10 @@
   virtual void createLease(Duration Time, Duration Timeout, Handler Done) = 0;
   virtual void renewLease(std::uint64_t LeaseId, Duration Timeout,
                           Handler Done) = 0;
+  /// Sets the handler that is called when an answer names the first or a later
+  /// era, before the answer is delivered. Changes and store leases of earlier
+  /// eras may be lost.
+  virtual void onNewEra(EraHandler Handler) = 0;
 };
 
 enum class PromotionOutcome : std::uint8_t {
--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -32,6 +32,7 @@
       SessionEngine(E), KeyValueStore(S), Layout(std::move(Keys)),
       Promote(std::move(PromotionCall)), Probe(std::move(StatusProbe)),
       Options(Settings), Rejected(SessionEngine.events()) {
+  KeyValueStore.onNewEra([this](StoreEra Next) { handleNewEra(Next); });
   DesiredRegistration.Id = Self;
   DesiredRegistration.Incarnation = Incarnation;
   ConfigReaderOptions ConfigSettings;
@@ -130,6 +131,7 @@
   if (!ReadingProxies && Now >= NextProxies)
     readProxies();
   updateRegistration();
+  restoreRecords();
   tickPromotions();
   if (PeerProxies == nullptr)
     return;
@@ -137,12 +139,13 @@
   if (pollerInTime() &&
       now() - PolledAt > Options.PollInterval + Options.PollSlack / 2)
     PeerProxies->askPollerAgain();
-  PeerProxies->setStoreSummary(
-      {Config->revision(), PolledAt, Servers->digest(), Servers->revision()});
+  PeerProxies->setStoreSummary({Era, Config->revision(), PolledAt,
+                                Servers->digest(), Servers->revision()});
   bool Overdue = pollOverdue();
   // While the poller extends the primary leases, only the poller requests a
   // quorum extension from all peers.
-  PeerProxies->tick(Overdue, Overdue && !polledByOthers());
+  bool NoLeases = Overdue || awaitsConfirmation();
+  PeerProxies->tick(Overdue, NoLeases && !polledByOthers());
   updateIsolation();
 }
 
@@ -296,7 +299,8 @@
     if (!C.Key.starts_with(GroupPrefix))
       continue;
     auto It = Groups.find(C.Key.substr(GroupPrefix.size()));
-    if (It == Groups.end() || It->second.Revision != C.Revision)
+    if (It == Groups.end() || It->second.Revision != C.Revision ||
+        It->second.RestoreAt || !confirmed(It->second.Record))
       continue;
     It->second.VerifiedEpoch = It->second.Record.Epoch;
     if (C.Revision == 0)
@@ -321,6 +325,12 @@
 
 void Coordinator::applyGroup(const StoreItem &Item) {
   auto It = Groups.find(Item.Key.substr(GroupPrefix.size()));
+  bool Known = It != Groups.end() && It->second.Record.Epoch != 0;
+  if (Item.Revision == 0) {
+    if (Known)
+      noteLostRecord(It->second, Item);
+    return;
+  }
   if (It != Groups.end() && Item.Revision <= It->second.Revision)
     return;
   auto Decoded = decodeGroup(Item);
@@ -331,6 +341,10 @@
     return;
   }
   StoredRecord Next{std::move(Decoded).value(), Item.Revision};
+  if (Known && isNewer(It->second.Record, Next.Record)) {
+    noteLostRecord(It->second, Item);
+    return;
+  }
   setRecord(Next);
   if (PeerProxies != nullptr && PeerProxies->isPoller())
     PeerProxies->announce(Next);
@@ -340,6 +354,7 @@
   KnownGroup &Known = Groups[Next.Record.Service];
   Known.Revision = Next.Revision;
   Known.Record = Next.Record;
+  Known.RestoreAt.reset();
   Known.RecordSeenAt = now();
   if (auto G = SessionEngine.group(Next.Record.Service))
     G->setPrimaryRecord(Known.Record);
--- a/packages/control/src/peermessage.cpp
+++ b/packages/control/src/peermessage.cpp
@@ -64,6 +64,29 @@
   return Epochs;
 }
 
+StoreEra decodeEra(const json &Value) {
+  auto Era = decodeInteger<StoreEra>(Value);
+  if (Era > MaxStoreEra)
+    throw json::out_of_range::create(MessageErrorId, "era too high", nullptr);
+  return Era;
+}
+
+StoredRecord decodeRecord(const json &Value) {
+  StoredRecord R;
+  R.Record.Service = Value.at(0).get<std::string>();
+  R.Record.Epoch = decodeInteger<std::uint64_t>(Value.at(1));
+  R.Record.Stage = decodeInteger<unsigned>(Value.at(2)) == 0
+                       ? GroupStage::Stable
+                       : GroupStage::Revoking;
+  R.Record.Primary = Value.at(3).get<std::string>();
+  R.Record.Term = decodeInteger<std::uint64_t>(Value.at(4));
+  R.Revision = decodeInteger<std::uint64_t>(Value.at(5));
+  // Proxies of the previous version send no era.
+  if (Value.size() > 6)
+    R.Record.Era = decodeEra(Value.at(6));
+  return R;
+}
+
 } // namespace detail
 
 std::string encode(const PeerMessage &M) {
@@ -94,12 +117,13 @@
   for (const StoredRecord &R : M.Records)
     Records.push_back({R.Record.Service, R.Record.Epoch,
                        static_cast<unsigned>(R.Record.Stage), R.Record.Primary,
-                       R.Record.Term, R.Revision});
+                       R.Record.Term, R.Revision, R.Record.Era});
   Value["groups"] = std::move(Records);
   Value["groups_digest"] = M.RecordsDigest;
   Value["servers_digest"] = M.ServersDigest;
   Value["servers"] = M.ServersRevision;
   Value["rules"] = M.ConfigRevision;
+  Value["era"] = M.Era;
   Value["checked"] = toMicros(M.PollAge);
   Value["outside"] = toMicros(M.CrossDomainContactAge);
   std::string Bytes;
@@ -144,16 +168,14 @@
                           decodeInteger<std::uint64_t>(G.at(1)),
                           decodeMicros(G.at(2))});
     for (const json &R : Value.at("groups"))
-      M.Records.push_back(
-          {{R.at(0).get<std::string>(), decodeInteger<std::uint64_t>(R.at(1)),
-            decodeInteger<unsigned>(R.at(2)) == 0 ? GroupStage::Stable
-                                                  : GroupStage::Revoking,
-            R.at(3).get<std::string>(), decodeInteger<std::uint64_t>(R.at(4))},
-           decodeInteger<std::uint64_t>(R.at(5))});
+      M.Records.push_back(detail::decodeRecord(R));
     M.RecordsDigest = decodeInteger<std::uint64_t>(Value.at("groups_digest"));
     M.ServersDigest = decodeInteger<std::uint64_t>(Value.at("servers_digest"));
     M.ServersRevision = decodeInteger<std::uint64_t>(Value.at("servers"));
     M.ConfigRevision = decodeInteger<std::uint64_t>(Value.at("rules"));
+    // Proxies of the previous version do not report it.
+    if (Value.contains("era"))
+      M.Era = detail::decodeEra(Value.at("era"));
     M.PollAge = decodeMicros(Value.at("checked"));
     M.CrossDomainContactAge = decodeMicros(Value.at("outside"));
     return Result<PeerMessage>::success(std::move(M));
--- a/packages/control/src/peers.cpp
+++ b/packages/control/src/peers.cpp
@@ -127,6 +127,7 @@
   M.IsRequest = false;
   M.From = Self;
   M.Exchange = Request.Exchange;
+  M.Era = Summary.Era;
   M.ServersDigest = Summary.ServersDigest;
   M.ServersRevision = Summary.ServersRevision;
   if (Request.RecordsDigest != 0 && Request.RecordsDigest != RecordsDigest)
--- a/packages/control/src/promotion.cpp
+++ b/packages/control/src/promotion.cpp
@@ -47,6 +47,7 @@
 
 PromotionInput Coordinator::commonInput() const {
   PromotionInput In;
+  In.Era = Era;
   In.LockHeldSince = PromotionLock.HeldSince;
   In.CallOutstanding =
       std::any_of(Groups.begin(), Groups.end(), [this](const auto &Entry) {
@@ -89,6 +90,7 @@
     PromotionLock.ReportedSince = now();
   const PromotionInput Common = commonInput();
   bool Revoking = false;
+  unsigned Confirmations = 0;
   for (const auto &Entry : SessionEngine.config().Services) {
     const std::string &Service = Entry.first;
     KnownGroup &G = Groups[Service];
@@ -96,8 +98,14 @@
     Revoking = Revoking || G.Record.Stage == GroupStage::Revoking;
     G.Promotion.Options.LeaseDuration = Options.LeaseDuration;
     bool Begins = G.Record.Stage == GroupStage::Stable;
-    if (G.Busy || (Begins && StoppingAt))
+    if (G.Busy || G.RestoreAt || (Begins && StoppingAt))
       continue;
+    if (mayBeLost(G.Record)) {
+      if (mayConfirm(G.Record) &&
+          Confirmations++ < Options.ConfirmationsPerStep)
+        confirmRecord(G);
+      continue;
+    }
     PromotionInput In = inputOf(G, Common);
     bool Waiting = !G.Promotion.LeasesEndedAt;
     for (const PromotionAction &Action : step(G.Promotion, In, now())) {
@@ -242,13 +250,18 @@
 
 void Coordinator::writePrimaryRecord(const std::string &Service,
                                      const WritePrimaryRecord &Action) {
+  sendPrimaryRecord(Service, Action, {});
+}
+
+void Coordinator::sendPrimaryRecord(const std::string &Service,
+                                    const WritePrimaryRecord &Action,
+                                    StoreChange Change) {
   KnownGroup &G = Groups[Service];
   G.Busy = true;
-  StoreChange Change;
-  Change.Conditions = {
-      {groupKey(Service), G.Revision},
-      {std::string(FencingTokenKey), PromotionLock.TokenRevision}};
-  Change.Sets = {{groupKey(Service), encode(Action.Record), 0, 0}};
+  Change.Conditions.push_back({groupKey(Service), G.Revision});
+  Change.Conditions.push_back(
+      {std::string(FencingTokenKey), PromotionLock.TokenRevision});
+  Change.Sets.push_back({groupKey(Service), encode(Action.Record), 0, 0});
   KeyValueStore.change(
       Change, Options.CallTimeout,
       [this, Service, Record = Action.Record,
--- a/packages/control/src/records.cpp
+++ b/packages/control/src/records.cpp
@@ -44,7 +44,8 @@
   return json{{"epoch", R.Epoch},
               {"stage", std::string(name(R.Stage))},
               {"primary", R.Primary},
-              {"term", R.Term}}
+              {"term", R.Term},
+              {"era", R.Era}}
       .dump();
 }
 
@@ -58,6 +59,8 @@
                   : GroupStage::Revoking;
     R.Primary = Value.at("primary").get<std::string>();
     R.Term = Value.at("term").get<std::uint64_t>();
+    // Records of the previous version do not have it.
+    R.Era = Value.value("era", StoreEra{0});
     return R;
   });
 }
--- a/packages/control/src/registration.cpp
+++ b/packages/control/src/registration.cpp
@@ -9,11 +9,15 @@
   // During a write, its answer tells the revision.
   if (Item.Revision == RegistrationRevision || WritingRegistration)
     return;
+  // If the store has lost the registration, this proxy may still extend leases:
+  // no revocation begins before it has registered again, see
+  // RecordRestoreTime.
+  bool LostByStore = eraOfRevision(RegistrationRevision) < Era;
   RegistrationRevision = Item.Revision;
   Evicted = false;
   StoredRegistration = ProxyRecord();
-  for (auto &Entry : Groups)
-    Entry.second.VerifiedEpoch.reset();
+  if (!LostByStore)
+    clearVerifiedEpochs();
   if (Item.Revision == 0)
     return;
   auto Decoded = decodeProxy(Item);
@@ -23,12 +27,18 @@
   Evicted = StoredRegistration.Evicted;
   if (!Evicted)
     return;
+  clearVerifiedEpochs();
   // The primary leases must have expired before the registration was marked as
   // evicted. Drop them anyway, in case this process was suspended.
   for (const auto &Entry : SessionEngine.groups())
     Entry.second->dropLease();
 }
 
+void Coordinator::clearVerifiedEpochs() {
+  for (auto &Entry : Groups)
+    Entry.second.VerifiedEpoch.reset();
+}
+
 /// Updates what the registration should contain.
 void Coordinator::refreshRegistration() {
   DesiredRegistration.Unreachable.clear();
--- a/packages/control/src/relayedpoll.cpp
+++ b/packages/control/src/relayedpoll.cpp
@@ -45,7 +45,8 @@
 void Coordinator::handlePeerRecord(const StoredRecord &Record) {
   auto It = Groups.find(Record.Record.Service);
   if (It == Groups.end() || !It->second.ReadFromStore ||
-      Record.Revision <= It->second.Revision)
+      Record.Revision <= It->second.Revision ||
+      isNewer(It->second.Record, Record.Record))
     return;
   setRecord(Record);
   updateRegistration();
@@ -66,6 +67,15 @@
   const PeerMessage &Answer = Poll.Answer;
   if (Poll.FromPoller)
     RelayedPollAge = Answer.PollAge;
+  // What the other proxy has read from the store may be lost.
+  if (Answer.Era != 0 && Answer.Era < Era)
+    return;
+  // The registration of this proxy, and records that it knows, may be lost.
+  bool NewEra = Answer.Era > Era;
+  if (NewEra && StoreReachable) {
+    NextPoll = std::min(NextPoll, now() + jitter(Options.PollRetry));
+    return;
+  }
   bool NewConfig = Config->isNewer(Answer.ConfigRevision);
   std::string Address = PeerProxies->addressOf(Answer.From);
   if (NewConfig)
@@ -73,7 +83,7 @@
                                !StoreReachable);
   Servers->handlePeerRevision(Answer.From, Address, Answer.ServersRevision,
                               Answer.ServersDigest);
-  if (!registered() || Leaving)
+  if (!registered() || Leaving || NewEra)
     return;
   // The answering proxy computed the age after the request was sent, so its
   // poll began at this time or later.
--- a/packages/control/src/servers.cpp
+++ b/packages/control/src/servers.cpp
@@ -92,7 +92,7 @@
   for (const ServerEntry &Entry : Next)
     Present.insert(Entry.Id);
   Instant Now = SessionEngine.runtime().Now();
-  bool Recent = Now - StoreFailedAt < Options.MissingGrace;
+  bool Recent = storeFailedRecently();
   for (const ServerEntry &Old : Entries) {
     if (Present.count(Old.Id) != 0) {
       MissingSince.erase(Old.Id);
@@ -106,8 +106,23 @@
   }
 }
 
+/// A server that drains ends; one that starts again has another start time.
+void ServersReader::keepDraining(std::vector<ServerEntry> &Next) const {
+  if (!storeFailedRecently())
+    return;
+  for (ServerEntry &Entry : Next) {
+    auto Old = std::lower_bound(
+        Entries.begin(), Entries.end(), Entry.Id,
+        [](const ServerEntry &E, const UpstreamId &Id) { return E.Id < Id; });
+    if (Old != Entries.end() && Old->Id == Entry.Id && Old->Draining &&
+        Old->StartedAt != 0 && Old->StartedAt == Entry.StartedAt)
+      Entry.Draining = true;
+  }
+}
+
 void ServersReader::set(std::vector<ServerEntry> Next,
                         std::uint64_t NewRevision) {
+  keepDraining(Next);
   std::sort(
       Next.begin(), Next.end(),
       [](const ServerEntry &A, const ServerEntry &B) { return A.Id < B.Id; });
--- a/packages/control/test/fakefleet-test.cpp
+++ b/packages/control/test/fakefleet-test.cpp
@@ -120,6 +120,7 @@
     E.Address = Item.Value == "foreign" ? "10.0.0.1:99999" : "10.0.0.1:80";
     E.FailureDomain = "zone";
     E.Draining = Item.Value == "draining";
+    E.StartedAt = 1;
     E.ReportedRole = E.Id == Primary ? Role::Primary : Role::Replica;
     return Result<ServerEntry>::success(E);
   };
--- a/packages/control/test/fakestore-test.cpp
+++ b/packages/control/test/fakestore-test.cpp
@@ -42,6 +42,23 @@
   });
 }
 
+void StoreState::takeCopy() { Copy = {Items, Revision, LeaseEnds}; }
+
+void StoreState::returnFromCopy() {
+  Items = Copy.Items;
+  Revision = Copy.Revision;
+  LeaseEnds = Copy.LeaseEnds;
+  beginEra();
+}
+
+void StoreState::beginEra() {
+  ++Era;
+  Revision = revisionOf(Era, revisionInStore(Revision));
+  for (auto &Entry : Items)
+    Entry.second.Revision =
+        revisionOf(Era, revisionInStore(Entry.second.Revision));
+}
+
 StoreReply StoreState::change(const StoreChange &Change) {
   StoreReply Reply;
   bool Holds = true;
@@ -67,12 +84,27 @@
 }
 
 void FakeStore::deliver(Duration After, StoreReply Reply, Handler Done) {
-  Time.after(After, [this, Reply = std::move(Reply), Done = std::move(Done)] {
+  Time.after(After, [this, Reply = std::move(Reply), SentIn = KnownEra,
+                     AnsweredIn = State.Era, Done = std::move(Done)] {
     if (!Dead)
-      Done(Reply);
+      deliverNow(Reply, SentIn, AnsweredIn, Done);
   });
 }
 
+void FakeStore::deliverNow(StoreReply Reply, StoreEra SentIn,
+                           StoreEra AnsweredIn, const Handler &Done) {
+  bool Answered = Reply.Code != StoreCode::NoAnswer;
+  if (Answered && AnsweredIn > KnownEra) {
+    KnownEra = AnsweredIn;
+    NewEra(KnownEra);
+  }
+  bool Lost = AnsweredIn < KnownEra;
+  bool OtherEra = SentIn != 0 && SentIn != KnownEra;
+  if (Lost || (Reply.Code == StoreCode::Ok && OtherEra))
+    Reply = {};
+  Done(std::move(Reply));
+}
+
 void FakeStore::reply(Duration Timeout, StoreReply Reply, Handler Done) {
   if (isUnavailable() && State.Rejecting) {
     StoreReply Rejected;
--- a/packages/control/test/fakestore.h
+++ b/packages/control/test/fakestore.h
@@ -29,11 +29,20 @@
   void runDue();
 };
 
+/// What a copy of the store contains.
+struct StoreCopy {
+  std::map<std::string, StoreItem> Items;
+  std::uint64_t Revision = 0;
+  std::map<std::uint64_t, Instant> LeaseEnds;
+};
+
 /// The keys of the store, and its faults. A fault applies to all proxies unless
 /// it is a set of proxies.
 struct StoreState {
   std::map<std::string, StoreItem> Items;
   std::uint64_t Revision = 10;
+  /// 0: the store names no era.
+  StoreEra Era = 0;
   bool Down = false;
   /// While the store is unavailable, it rejects calls at once instead of
   /// leaving them unanswered.
@@ -52,9 +61,17 @@
 
   /// Number of answers by proxy that contained the configuration.
   std::map<std::string, std::size_t> ConfigsSent;
+  StoreCopy Copy;
 
   void put(const std::string &Key, const std::string &Value);
   void expireLeases(Instant Now);
+  /// Keeps what the store has now, to come back from it later.
+  void takeCopy();
+  /// Comes back from the copy, in a new era. Nothing that was written since
+  /// the copy is left.
+  void returnFromCopy();
+  /// Begins the next era; revisions go on from those of the last one.
+  void beginEra();
   StoreReply change(const StoreChange &Change);
 };
 
@@ -73,12 +90,17 @@
   void createLease(Duration Length, Duration Timeout, Handler Done) override;
   void renewLease(std::uint64_t LeaseId, Duration Timeout,
                   Handler Done) override;
+  void onNewEra(EraHandler Handler) override { NewEra = std::move(Handler); }
 
   /// The process has ended: no answer reaches it any more.
   bool Dead = false;
 
 private:
   void deliver(Duration After, StoreReply Reply, Handler Done);
+  /// Delivers an answer that the store gave in the era \p AnsweredIn to a call
+  /// that was sent in the era \p SentIn.
+  void deliverNow(StoreReply Reply, StoreEra SentIn, StoreEra AnsweredIn,
+                  const Handler &Done);
   bool isUnavailable() const {
     return State.Down || State.PartitionedProxies.count(Proxy) != 0;
   }
@@ -87,6 +109,9 @@
   StoreState &State;
   FakeClock &Time;
   std::string Proxy;
+  /// Latest era that an answer has named.
+  StoreEra KnownEra = 0;
+  EraHandler NewEra;
 };
 
 /// One proxy. It has no real servers: statements on its connections are
--- a/packages/control/test/peers-test.cpp
+++ b/packages/control/test/peers-test.cpp
@@ -17,7 +17,8 @@
   M.Epochs.Acknowledged["s"] = 2;
   M.Epochs.Answered["s"] = {"p2", "p3"};
   M.Positions.push_back({"s", 3, {2, 99}, std::chrono::milliseconds(40)});
-  M.Records.push_back({{"s", 3, GroupStage::Revoking, "i-1", 2}, 77});
+  M.Records.push_back({{"s", 3, GroupStage::Revoking, "i-1", 2, 4}, 77});
+  M.Era = 4;
   M.RecordsDigest = 5;
   M.ServersDigest = 6;
   auto R = decodePeerMessage(encode(M));
@@ -28,6 +29,7 @@
   CHECK(R.value().Positions[0].Committed == Position{2, 99});
   CHECK(R.value().Records[0].Record == M.Records[0].Record);
   CHECK(R.value().Records[0].Revision == 77);
+  CHECK(R.value().Era == 4);
   CHECK(R.value().RecordsDigest == 5);
   CHECK(R.value().ServersDigest == 6);
   CHECK(R.value().Positions[0].Age == std::chrono::milliseconds(40));
--- a/packages/engine/include/engine/events.h
+++ b/packages/engine/include/engine/events.h
@@ -29,6 +29,9 @@
   ServersRead,
   StoreUnreachable,
   StoreReachable,
+  StoreEraChanged,
+  RecordLost,
+  RecordRestored,
   Isolated,
   Rejoined,
   ServerUnreachable,
@@ -78,7 +81,7 @@
 };
 
 /// Indexed by EngineEvent.
-inline constexpr std::array<EngineEventKind, 50> EngineEventKinds = {{
+inline constexpr std::array<EngineEventKind, 53> EngineEventKinds = {{
     {100, "started", 10},
     {101, "stopping", 10},
     {102, "stopped", 10},
@@ -91,6 +94,9 @@
     {114, "servers-read", 20},
     {120, "store-lost", 5},
     {121, "store-regained", 5},
+    {124, "store-era-changed", 5},
+    {125, "record-lost", 20},
+    {126, "record-restored", 20},
     {122, "isolated", 5},
     {123, "rejoined", 5},
     {130, "server-unreachable", 20},
--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -210,7 +210,8 @@
   /// \p AllProxies: registered proxies.
   void setServers(const std::vector<ServerEntry> &Servers, unsigned Cap,
                   std::size_t Domains, std::size_t AllProxies);
-  /// Takes over a record with a higher epoch; this ends the primary lease.
+  /// Takes over a newer record; this ends the primary lease, unless the record
+  /// is only confirmed for a later era of the store.
   void setPrimaryRecord(const PrimaryRecord &Record);
   /// Starts or renews the primary lease after a poll of the store, own or
   /// relayed, or a quorum of peers has verified the record of \p Epoch. Ignored
--- a/packages/engine/src/group.cpp
+++ b/packages/engine/src/group.cpp
@@ -154,8 +154,15 @@
 }
 
 void Group::setPrimaryRecord(const PrimaryRecord &Next) {
-  if (Next.Epoch <= Record.Epoch)
+  if (!isNewer(Next, Record))
     return;
+  if (Next.Epoch == Record.Epoch) {
+    // Only confirmed, after the store has come back from a copy.
+    Record = Next;
+    return;
+  }
+  if (Next.Epoch < Record.Epoch)
+    Positions = {}; // They are of an epoch that the store has lost.
   RecordSeenAt = Hooks.Now();
   Record = Next;
   Events.write(EngineEvent::PrimaryChanged, {{"service", Service},
--- a/packages/engine/test/group-test.cpp
+++ b/packages/engine/test/group-test.cpp
@@ -47,6 +47,38 @@
   CHECK(F.server("r1").count("READ a") == 1);
 }
 
+// Guards against writes that become unknown on all proxies at once after the
+// store has come back from a copy and its records are confirmed.
+TEST_CASE("a confirmed record keeps the lease and the writes in progress") {
+  EngineFixture F;
+  F.server("p").AnswerTime = 100ms;
+  F.open("latest")->submit(write("a"));
+  F.advance(50ms);
+  PrimaryRecord Confirmed = F.SessionEngine->group("s")->primaryRecord();
+  Confirmed.Era = 2;
+  F.SessionEngine->group("s")->setPrimaryRecord(Confirmed);
+  CHECK(F.SessionEngine->group("s")->hasLease());
+  F.advance(100ms);
+  REQUIRE_FALSE(F.Replies.empty());
+  CHECK_FALSE(F.last().Error);
+}
+
+// Guards against two primaries in use: this proxy knows a promotion that the
+// store, and the proxies in touch with it, have lost.
+TEST_CASE("a record of a later era replaces one with a higher epoch") {
+  EngineFixture F;
+  auto G = F.SessionEngine->group("s");
+  G->setPrimaryRecord({"s", 7, GroupStage::Stable, "r1", 2, 1});
+  F.renewLeaseFor(60s);
+  G->setPrimaryRecord({"s", 5, GroupStage::Stable, "p", 1, 1});
+  CHECK(G->primaryRecord().Primary == "r1");
+  G->setPrimaryRecord({"s", 5, GroupStage::Stable, "p", 1, 2});
+  CHECK(G->primaryRecord().Primary == "p");
+  CHECK_FALSE(G->hasLease());
+  G->setPrimaryRecord({"s", 7, GroupStage::Stable, "r1", 2, 1});
+  CHECK(G->primaryRecord().Primary == "p");
+}
+
 // Guards against refusals after a restart of all proxies: the first primary
 // lease follows soon.
 TEST_CASE(
--- a/packages/kernel/include/kernel/promotion.h
+++ b/packages/kernel/include/kernel/promotion.h
@@ -10,6 +10,7 @@
 #include "kernel/leaseextension.h"
 #include "kernel/primary.h"
 #include "kernel/routes.h"
+#include "kernel/storeera.h"
 #include <map>
 #include <set>
 #include <variant>
@@ -29,7 +30,7 @@
   return GroupStageNames[static_cast<std::size_t>(S)];
 }
 
-/// The stored record of a group's primary. Each change increments the epoch.
+/// The stored record of a group's primary. Each change raises the epoch.
 struct PrimaryRecord {
   std::string Service;
   /// 0 if there is no record yet.
@@ -38,10 +39,18 @@
   UpstreamId Primary;
   /// Term of the primary when it was published; 0 if unknown.
   std::uint64_t Term = 0;
+  /// Era of the store in which the record was written or confirmed: it had
+  /// lost no later record then. 0 if unknown.
+  StoreEra Era = 0;
 
   bool operator==(const PrimaryRecord &) const = default;
 };
 
+/// True if \p A replaces \p B. A record of a later era does so even with a
+/// lower epoch: the store and the proxies in touch with it have lost the other
+/// one.
+bool isNewer(const PrimaryRecord &A, const PrimaryRecord &B);
+
 /// The registration of one proxy, as the lock holder last read it. It is stored
 /// without a store lease, because the expiry of a leased key would not prove
 /// that its proxy has stopped using a primary.
@@ -218,6 +227,8 @@
 /// What the lock holder knows about one group and the proxies.
 struct PromotionInput {
   PrimaryRecord Record;
+  /// Current era of the store.
+  StoreEra Era = 0;
   /// When this proxy took the promotion lock.
   Instant LockHeldSince;
   /// An earlier lock holder may have called a promotion in this epoch.
--- a/packages/kernel/src/promotion.cpp
+++ b/packages/kernel/src/promotion.cpp
@@ -55,6 +55,15 @@
   S.ReasonSince = Now;
 }
 
+/// The record that follows the current one, with the same content.
+PrimaryRecord nextRecord(const PromotionInput &In, GroupStage Stage) {
+  PrimaryRecord Next = In.Record;
+  Next.Epoch = nextNumber(In.Record.Epoch, In.Era);
+  Next.Era = In.Era;
+  Next.Stage = Stage;
+  return Next;
+}
+
 /// Creates the first record, for the server that is registered as the primary.
 std::vector<PromotionAction> stepAbsent(const PromotionInput &In) {
   const ServerEntry *Primary = nullptr;
@@ -63,8 +72,9 @@
       Primary = &Server;
   if (Primary == nullptr)
     return {};
-  return {WritePrimaryRecord{
-      {In.Record.Service, 1, GroupStage::Stable, Primary->Id}, {}}};
+  PrimaryRecord First = nextRecord(In, GroupStage::Stable);
+  First.Primary = Primary->Id;
+  return {WritePrimaryRecord{First, {}}};
 }
 
 /// True if the lock holder is on the minority side of a network partition.
@@ -93,10 +103,7 @@
   if (Reason == PromotionReason::Unreachable && inMinority(In) &&
       Now - S.ReasonSince < S.Options.MinorityTolerance)
     return {};
-  PrimaryRecord Next = In.Record;
-  ++Next.Epoch;
-  Next.Stage = GroupStage::Revoking;
-  return {WritePrimaryRecord{Next, Reason}};
+  return {WritePrimaryRecord{nextRecord(In, GroupStage::Revoking), Reason}};
 }
 
 /// Resets the state when a newly revoked record is seen.
@@ -191,9 +198,10 @@
     const ServerStatus *Status = findStatus(In, S.Candidate);
     if (!isPrimaryOfNewTerm(S, In, Status))
       return {};
-    return {WritePrimaryRecord{{In.Record.Service, In.Record.Epoch + 1,
-                                GroupStage::Stable, S.Candidate, Status->Term},
-                               PromotionReason::None}};
+    PrimaryRecord Next = nextRecord(In, GroupStage::Stable);
+    Next.Primary = S.Candidate;
+    Next.Term = Status->Term;
+    return {WritePrimaryRecord{Next, PromotionReason::None}};
   }
   if (In.CallOutstanding && Now - In.LockHeldSince < S.Options.TakeoverDelay)
     return {};
@@ -212,6 +220,11 @@
 
 } // namespace detail
 
+bool isNewer(const PrimaryRecord &A, const PrimaryRecord &B) {
+  bool ErasKnown = A.Era != 0 && B.Era != 0;
+  return ErasKnown && A.Era != B.Era ? A.Era > B.Era : A.Epoch > B.Epoch;
+}
+
 PromotionReason promotionReason(const PromotionOptions &Options,
                                 const PromotionInput &In) {
   const ServerEntry *Primary = detail::findServer(In, In.Record.Primary);
@@ -325,10 +338,8 @@
     return detail::stepStable(S, In, Now);
   detail::enterEpoch(S, In, Now);
   if (detail::shouldRestore(S, In)) {
-    PrimaryRecord Next = In.Record;
-    ++Next.Epoch;
-    Next.Stage = GroupStage::Stable;
-    return {WritePrimaryRecord{Next, PromotionReason::None}};
+    return {WritePrimaryRecord{detail::nextRecord(In, GroupStage::Stable),
+                               PromotionReason::None}};
   }
   std::vector<PromotionAction> Actions = S.LeasesEndedAt
                                              ? detail::stepPromote(S, In, Now)
--- a/packages/kernel/test/promotion-test.cpp
+++ b/packages/kernel/test/promotion-test.cpp
@@ -13,6 +13,38 @@
   CHECK(X.In.Record.Epoch == 1);
 }
 
+// Guards against an epoch that is used twice: the store has lost that it was
+// given out, and a proxy that knows it counts as having acknowledged it.
+TEST_CASE("epochs of a later era are higher than those that may be lost") {
+  PromotionFixture X;
+  X.In.Era = 1;
+  X.report(7);
+  X.tick();
+  REQUIRE(X.stored(X.tick(1s)));
+  PrimaryRecord Lost = X.In.Record;
+  CHECK(Lost.Era == 1);
+  PromotionFixture Y;
+  Y.In.Era = 2;
+  Y.report(7);
+  Y.tick();
+  REQUIRE(Y.stored(Y.tick(1s)));
+  CHECK(Y.In.Record.Stage == GroupStage::Revoking);
+  CHECK(Y.In.Record.Epoch > Lost.Epoch);
+  CHECK(Y.In.Record.Era == 2);
+}
+
+TEST_CASE("a record is newer by its era and then by its epoch") {
+  PrimaryRecord A{"s", 5, GroupStage::Stable, "a", 1, 2};
+  PrimaryRecord B{"s", 7, GroupStage::Stable, "b", 2, 1};
+  CHECK(isNewer(A, B));
+  CHECK_FALSE(isNewer(B, A));
+  CHECK_FALSE(isNewer(A, A));
+  // Records of the previous version have no era.
+  A.Era = 0;
+  CHECK(isNewer(B, A));
+  CHECK_FALSE(isNewer(A, B));
+}
+
 // Guards against a promotion because of an interruption that is shorter than
 // the tolerance.
 TEST_CASE("a short interruption does not revoke the primary") {
