--- a/packages/control/src/promotionlock.cpp
+++ b/packages/control/src/promotionlock.cpp
@@ -54,7 +54,7 @@
 }
 
 void Coordinator::writePromotionLock(std::uint64_t LeaseId) {
-  FencingToken Next{Self, PromotionLock.Token + 1};
+  FencingToken Next{Self, nextNumber(PromotionLock.Token, Era)};
   StoreChange Change;
   Change.Conditions = {
       {std::string(PromotionLockKey), 0},
--- a/packages/control/test/storeera-test.cpp
+++ b/packages/control/test/storeera-test.cpp
@@ -165,6 +165,22 @@
   }
 }
 
+// Guards against a fencing token that two holders use (review/7): the store has
+// lost the last change of the holder.
+TEST_CASE("fencing tokens rise although the store has lost the last one") {
+  EraFleet F;
+  F.Keys.takeCopy();
+  F.proxy(F.lockHolder()).kill();
+  F.advance(4s);
+  F.replacePrimary();
+  F.proxy(F.lockHolder()).kill();
+  F.drill();
+  F.advance(ReturnTime);
+  F.replacePrimary();
+  REQUIRE(F.Promotions.size() == 2);
+  CHECK(F.Promotions[1].second > F.Promotions[0].second);
+}
+
 // Guards against a revocation that does not wait for a proxy whose registration
 // the store has lost.
 TEST_CASE("a proxy whose registration is lost registers again") {
