--- a/packages/engine/include/engine/group.h
+++ b/packages/engine/include/engine/group.h
@@ -91,7 +91,8 @@
   /// InTransaction, Commit: the transaction wrote.
   bool Wrote = false;
   std::optional<PinnedConnection> Pinned;
-  /// Last commit of the session; reads with session consistency must see it.
+  /// Last commit of the session at this service; reads with session consistency
+  /// must see it.
   SessionCommit LastCommit;
   /// Arrival of the statement, and of the operation that it belongs to: its
   /// transaction, or itself.
--- a/packages/engine/include/engine/session.h
+++ b/packages/engine/include/engine/session.h
@@ -141,7 +141,7 @@
   /// Returns the permission of an operation that did not run.
   void giveBackPermit(const Job &J, const ServerReply &Reply);
   void handleResult(JobRef J, JobResult Result);
-  void handleCommitResult(JobResult Result);
+  void handleCommitResult(const std::string &Service, JobResult Result);
   void answer(CallerReply R);
   /// Remembers that the current operation was refused and nothing of it is
   /// kept, so that the caller will probably send it again.
@@ -186,7 +186,7 @@
   std::optional<PinnedConnection> Pinned;
   RouteConfig Route;
   std::shared_ptr<Group> ServiceGroup;
-  SessionCommit LastCommit;
+  SessionCommits LastCommits;
   /// Arrival of the current operation: the transaction, or a single statement.
   Instant OperationStart;
   /// See Job::FirstTry.
--- a/packages/engine/src/session.cpp
+++ b/packages/engine/src/session.cpp
@@ -244,7 +244,7 @@
   J->ReadOnly = ReadOnly;
   J->Wrote = Wrote;
   J->Pinned = Pinned;
-  J->LastCommit = LastCommit;
+  J->LastCommit = lastCommitAt(LastCommits, Route.Service);
   J->Arrived = Arrived;
   J->OperationStart = OperationStart;
   J->FirstTry = FirstTry;
@@ -306,7 +306,7 @@
     return;
   }
   if (J->EndsTransaction) {
-    handleCommitResult(std::move(Result));
+    handleCommitResult(J->Route.Service, std::move(Result));
     return;
   }
   ServerReply &Reply = Result.Reply;
@@ -317,7 +317,7 @@
     if (InTransaction)
       Wrote = Wrote || J->Write;
     else if (J->Write && Reply.LogPosition)
-      LastCommit = {*Reply.LogPosition, Result.Epoch};
+      LastCommits[J->Route.Service] = {*Reply.LogPosition, Result.Epoch};
   } else if (InTransaction) {
     State = TransactionState::Failed;
   }
@@ -334,7 +334,7 @@
   passOn(std::move(Reply));
 }
 
-void Session::handleCommitResult(JobResult Result) {
+void Session::handleCommitResult(const std::string &Service, JobResult Result) {
   ServerReply &Reply = Result.Reply;
   bool HadWritten = Wrote;
   State = TransactionState::None;
@@ -348,7 +348,7 @@
     return;
   }
   if (Reply.ok() && HadWritten && Reply.LogPosition)
-    LastCommit = {*Reply.LogPosition, Result.Epoch};
+    LastCommits[Service] = {*Reply.LogPosition, Result.Epoch};
   passOn(std::move(Reply));
 }
 
--- a/packages/engine/test/session-test.cpp
+++ b/packages/engine/test/session-test.cpp
@@ -33,8 +33,77 @@
 const Statement Commit = simple(StatementKind::Commit, "COMMIT");
 const Statement Rollback = simple(StatementKind::Rollback, "ROLLBACK");
 
+/// Gives the route "session" to the service: "s", or "t" with the servers q and
+/// q1, whose log is shorter.
+void routeSessionTo(EngineFixture &F, const std::string &Service) {
+  RoutingConfig Config = F.SessionEngine->config();
+  ++Config.Version;
+  Config.Services["t"] = {"t", 10, 0};
+  Config.Routes["session"].Service = Service;
+  std::vector<ServerEntry> Entries;
+  for (const char *Id : {"q", "q1"}) {
+    FakeServer &S = F.Servers[Id];
+    S.Entry = F.server("p").Entry;
+    S.Entry.Id = Id;
+    S.Entry.Service = "t";
+    S.Log = {1, 3};
+  }
+  for (const auto &Entry : F.Servers)
+    Entries.push_back(Entry.second.Entry);
+  F.SessionEngine->applyConfig(Config);
+  F.SessionEngine->setServers(Entries, 1);
+  auto G = F.SessionEngine->group("t");
+  G->setPrimaryRecord({"t", 1, GroupStage::Stable, "q"});
+  G->renewLease(1, F.Now + 60s);
+  F.advance(100ms);
+}
+
 } // namespace
 
+// Guards against reads that lack a write of their own session (review/8): the
+// route has gone to another service and back, and the position of the other
+// service's log was taken for one of this log.
+TEST_CASE("a session reads its own write after its route was elsewhere") {
+  for (bool InTransaction : {false, true}) {
+    EngineFixture F;
+    auto S = F.open("session");
+    auto Write = [&] {
+      if (InTransaction)
+        S->submit(Begin);
+      S->submit(write("a"));
+      if (InTransaction)
+        S->submit(Commit);
+      F.advance(100ms);
+      REQUIRE_FALSE(F.last().Error);
+    };
+    Write();
+    routeSessionTo(F, "t");
+    Write();
+    CHECK(F.server("q").count("WRITE a x") == 1);
+    routeSessionTo(F, "s");
+    S->submit(read("b"));
+    F.advance(100ms);
+    REQUIRE_FALSE(F.last().Error);
+    CHECK(F.server("p").count("READ b") == 1);
+  }
+}
+
+// Guards against reads that no replica may run, because the position of another
+// service's log is required of them.
+TEST_CASE("a write at one service requires nothing of another service") {
+  EngineFixture F;
+  auto S = F.open("session");
+  S->submit(write("a"));
+  F.advance(100ms);
+  routeSessionTo(F, "t");
+  S->submit(read("b"));
+  F.advance(100ms);
+  S->submit(read("c"));
+  F.advance(100ms);
+  REQUIRE_FALSE(F.last().Error);
+  CHECK(F.server("q1").count("READ c") == 1);
+}
+
 TEST_CASE("a read is answered with the server's signature") {
   EngineFixture F;
   F.open("latest")->submit(read("a"));
--- a/packages/kernel/include/kernel/primary.h
+++ b/packages/kernel/include/kernel/primary.h
@@ -10,7 +10,10 @@
 #include "kernel/position.h"
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
+#include <string>
+#include <string_view>
 
 namespace eelgrassloom {
 
@@ -71,6 +74,14 @@
   std::uint64_t Epoch = 0;
 };
 
+/// The last commits of a session, by the service that ran them. Each service
+/// has a log of its own, so a position says nothing about another service.
+using SessionCommits = std::map<std::string, SessionCommit, std::less<>>;
+
+/// The last commit at the service; none if the session has not written there.
+SessionCommit lastCommitAt(const SessionCommits &Commits,
+                           std::string_view Service);
+
 /// Position that a replica must contain to include the surviving commits of a
 /// session: the last commit itself or, after a promotion, the first sample of
 /// the new primary. Empty if there is no such sample yet.
--- a/packages/kernel/src/primary.cpp
+++ b/packages/kernel/src/primary.cpp
@@ -33,6 +33,12 @@
   return Sample->Committed;
 }
 
+SessionCommit lastCommitAt(const SessionCommits &Commits,
+                           std::string_view Service) {
+  auto It = Commits.find(Service);
+  return It == Commits.end() ? SessionCommit() : It->second;
+}
+
 std::optional<Position> requiredForSession(const PrimaryPositions &P,
                                            const SessionCommit &C,
                                            std::uint64_t Epoch) {
