Read the list of proxies several times after a return of the store

Cause: the copy may lack proxies that registered within the lost seconds. A proxy read the list once right after the return and again 4 s later, but promotions may begin 3 s after it. Until then it would have extended its leases by a quorum of too short a list, which a revocation quorum of the complete list need not intersect. Found by reading.

Change: after a new era the list is read each second, as after a start.

Measured: the new case of storeera-test.cpp (six proxies that the copy lacks) saw lists of 6 and 7 of 12 proxies at the time of a promotion without the change, 12 of 12 with it. No run has shown a rule broken by this.

--- a/packages/control/src/storeera.cpp
+++ b/packages/control/src/storeera.cpp
@@ -24,7 +24,10 @@
   for (auto &Entry : Heartbeats)
     Entry.second.Revision = 0;
   Servers->handleStoreReturn();
+  // The copy may lack proxies that have registered lately. They register again,
+  // so the list is read several times, as after a start.
   NextProxies = now();
+  ProxiesReads = 0;
   NextPoll = std::min(NextPoll, now() + jitter(Options.PollRetry));
 }
 
--- a/packages/control/test/storeera-test.cpp
+++ b/packages/control/test/storeera-test.cpp
@@ -195,6 +195,30 @@
   CHECK(F.hasLease(ProxyCount));
 }
 
+// Guards against leases that are extended by a quorum of the few proxies that
+// the copy names, while a promotion does not wait for them.
+TEST_CASE("the list of proxies is complete again before a promotion begins") {
+  EraFleet F;
+  F.Keys.takeCopy();
+  for (int I = 0; I < 6; ++I)
+    F.addProxy("late" + std::to_string(I), "zone1");
+  F.advance(3s);
+  F.drill();
+  F.Keys.put("servers/a", "draining");
+  std::vector<std::size_t> Known(F.Members.size());
+  for (std::size_t I = 0; I < F.Members.size(); ++I)
+    F.proxy(I).PeerProxies->onPeers(
+        [&Known, I](const std::vector<PeerInfo> &List) {
+          Known[I] = List.size();
+        });
+  while (F.Promotions.empty())
+    F.advanceWithOnePrimary(F.Step);
+  for (std::size_t Count : Known)
+    CHECK(Count == F.Members.size());
+  F.advanceWithOnePrimary(ReturnTime);
+  CHECK(F.liveLeases() == F.Members.size());
+}
+
 // Guards against work for a server that drains: the copy is older than that.
 TEST_CASE("a server stays draining when the store has lost that") {
   EraFleet F;
