Soak: the store comes back from copies

Change: the store of the soak names its era and can come back from a copy of 0.5 to 5 s before, after 0.2 to 1.5 s away; the operator and the servers write again within 0.5 and 2 s. `drills` adds this to the random faults, `unnamed-era` shows that the checks report a store that does not tell. A fencing token that two holders use is a violation.

--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -128,6 +128,32 @@
            [this] { Store.Mode = StoreMode::Normal; });
 }
 
+void Soak::drill() {
+  if (!FaultsEnabled)
+    return;
+  Store.takeCopy();
+  logEvent("copy of the store");
+  Duration CopyAge = std::chrono::milliseconds(500 + Random() % 4500);
+  Duration AwayTime = std::chrono::milliseconds(200 + Random() % 1300);
+  runAfter(Loop, CopyAge, [this, AwayTime] {
+    if (!FaultsEnabled)
+      return;
+    logEvent("store away");
+    Store.goAway();
+    runAfter(Loop, AwayTime, [this] { returnFromCopy(); });
+  });
+}
+
+void Soak::returnFromCopy() {
+  Store.returnFromCopy();
+  logEvent("store back from the copy");
+  ServersRewrittenAt = now() + std::chrono::milliseconds(Random() % 2000);
+  ConfigRewrittenAt = now() + std::chrono::milliseconds(Random() % 500);
+  runAfter(Loop, ConfigRewrittenAt - now(), [this] { publishConfig(); });
+  runAfter(Loop, std::chrono::milliseconds(1000 + Random() % 6000),
+           [this] { drill(); });
+}
+
 void Soak::repeatAnswers() {
   if (!FaultsEnabled)
     return;
--- a/tests/soak/keyvaluestore.cpp
+++ b/tests/soak/keyvaluestore.cpp
@@ -60,7 +60,8 @@
       return;
     std::string Token(Request["Eelgrassloom-Fence-Token"]);
     if (!Token.empty())
-      Parent.Tokens.push_back(std::stoull(Token));
+      Parent.addToken(std::stoull(Token),
+                      std::string(Request["Eelgrassloom-Duty-Holder"]));
     Parent.handle(
         Proxy, std::string(Request.method_string()),
         std::string(Request.target()), Request.body(),
@@ -73,6 +74,8 @@
   void answer(unsigned Status, const std::string &Body) {
     Response = {};
     Response.result(Status);
+    if (Parent.NamesEra)
+      Response.set("Store-Era", std::to_string(Parent.era()));
     Response.keep_alive(true);
     Response.body() = Body;
     Response.prepare_payload();
@@ -121,23 +124,40 @@
 }
 
 void KeyValueStore::put(const std::string &Key, const std::string &Value) {
-  auto It = Items.find(Key);
-  if (It != Items.end() && It->second.Value == Value)
+  auto It = Now.Items.find(Key);
+  if (Away || (It != Now.Items.end() && It->second.Value == Value))
     return;
-  ++Revision;
-  Items[Key] = {Value, Revision, Revision, 0};
+  ++Now.Revision;
+  Now.Items[Key] = {Value, Now.Revision, Now.Revision, 0};
 }
 
 void KeyValueStore::erase(const std::string &Key) {
-  Revision += Items.erase(Key);
+  if (!Away)
+    Now.Revision += Now.Items.erase(Key);
+}
+
+void KeyValueStore::returnFromCopy() {
+  Now = Copy;
+  ++Era;
+  Away = false;
+}
+
+void KeyValueStore::addToken(std::uint64_t Token, const std::string &Holder) {
+  Tokens.push_back(Token);
+  auto [It, New] = HolderOfToken.emplace(Token, Holder);
+  if (!New && It->second != Holder)
+    Problems.push_back("ONE: the fencing token " + std::to_string(Token) +
+                       " is used by " + It->second + " and " + Holder);
 }
 
 void KeyValueStore::expire() {
-  std::erase_if(Leases, [&](const auto &L) {
+  if (Away)
+    return;
+  std::erase_if(Now.Leases, [&](const auto &L) {
     if (L.second.first > now())
       return false;
-    Revision += std::erase_if(
-        Items, [&](const auto &I) { return I.second.LeaseId == L.first; });
+    Now.Revision += std::erase_if(
+        Now.Items, [&](const auto &I) { return I.second.LeaseId == L.first; });
     return true;
   });
 }
@@ -158,27 +178,27 @@
   bool Holds = true;
   std::string Current;
   for (const json &C : Body.at("precondition")) {
-    auto It = Items.find(C.at("key").get<std::string>());
-    std::uint64_t Have = It == Items.end() ? 0 : It->second.Revision;
+    auto It = Now.Items.find(C.at("key").get<std::string>());
+    std::uint64_t Have = It == Now.Items.end() ? 0 : It->second.Revision;
     Holds = Holds && Have == C.at("rev").get<std::uint64_t>();
-    if (It != Items.end())
+    if (It != Now.Items.end())
       Current += (Current.empty() ? "" : ",") + itemText(It->first, It->second);
   }
   if (!Holds)
     return {412, "{\"items\":[" + Current + "]}"};
   if (!Body.at("setKeys").empty() || !Body.at("deleteKeys").empty())
-    ++Revision;
+    ++Now.Revision;
   for (const json &S : Body.at("setKeys")) {
     std::uint64_t LeaseId = S.value("lease", std::uint64_t{0});
-    if (LeaseId != 0 && Leases.count(LeaseId) == 0)
+    if (LeaseId != 0 && Now.Leases.count(LeaseId) == 0)
       return {404, "{}"};
-    Items[S.at("key").get<std::string>()] = {
-        platform::decodeBase64(S.at("value").get<std::string>()), Revision,
-        Revision, LeaseId};
+    Now.Items[S.at("key").get<std::string>()] = {
+        platform::decodeBase64(S.at("value").get<std::string>()), Now.Revision,
+        Now.Revision, LeaseId};
   }
   for (const json &D : Body.at("deleteKeys"))
-    Items.erase(D.get<std::string>());
-  return {200, json{{"rev", Revision}}.dump()};
+    Now.Items.erase(D.get<std::string>());
+  return {200, json{{"rev", Now.Revision}}.dump()};
 }
 
 std::pair<unsigned, std::string> KeyValueStore::run(const std::string &Method,
@@ -186,24 +206,25 @@
                                                     const std::string &Body) {
   if (hasPrefix(Target, "/-/kv-range")) {
     std::string List;
-    for (const auto &[Key, I] : Items)
+    for (const auto &[Key, I] : Now.Items)
       if (hasPrefix(Key, queryParameter(Target, "prefix")))
         List += (List.empty() ? "" : ",") + itemText(Key, I);
     return {200, "{\"items\":[" + List + "],\"hasMore\":false,\"asOf\":" +
-                     std::to_string(Revision) + "}"};
+                     std::to_string(Now.Revision) + "}"};
   }
   if (Target == "/-/kv-txn")
     return transact(Body);
   if (Target == "/-/kv-lease") {
     Duration Length =
         std::chrono::milliseconds(json::parse(Body).at("ttlMs").get<int>());
-    Leases[NextLease] = {now() + Length, Length};
-    return {200,
-            json{{"lease", NextLease++}, {"ttlMs", toMillis(Length)}}.dump()};
+    Now.Leases[Now.NextLease] = {now() + Length, Length};
+    return {
+        200,
+        json{{"lease", Now.NextLease++}, {"ttlMs", toMillis(Length)}}.dump()};
   }
   if (hasPrefix(Target, "/-/kv-keep/")) {
-    auto It = Leases.find(std::stoull(Target.substr(11)));
-    if (It == Leases.end())
+    auto It = Now.Leases.find(std::stoull(Target.substr(11)));
+    if (It == Now.Leases.end())
       return {404, "{}"};
     It->second.first = now() + It->second.second;
     return {200, json{{"ttlMs", toMillis(It->second.second)}}.dump()};
@@ -222,12 +243,16 @@
                           Instant Until,
                           std::function<void(unsigned, std::string)> Done) {
   std::string List;
-  for (const auto &[Key, I] : Items)
+  for (const auto &[Key, I] : Now.Items)
     if (hasPrefix(Key, Prefix) && I.Revision > After)
       List += (List.empty() ? "" : ",") + itemText(Key, I);
+  if (Away || After > Now.Revision) {
+    Done(Away ? 0 : 410, "{}");
+    return;
+  }
   if (!List.empty() || now() >= Until) {
     Done(200, "{\"events\":[" + List +
-                  "],\"asOf\":" + std::to_string(Revision) + "}");
+                  "],\"asOf\":" + std::to_string(Now.Revision) + "}");
     return;
   }
   runAfter(Loop, WatchPollInterval,
@@ -240,8 +265,8 @@
                            const std::string &Target, const std::string &Body,
                            std::function<void(unsigned, std::string)> Done) {
   bool Promotion = Target == "/promote";
-  if (!Promotion &&
-      (Mode == StoreMode::Unresponsive || PartitionedProxies.count(Proxy) != 0))
+  if (!Promotion && (Away || Mode == StoreMode::Unresponsive ||
+                     PartitionedProxies.count(Proxy) != 0))
     return;
   if (!Promotion &&
       (Mode == StoreMode::Busy || RejectedProxies.count(Proxy) != 0)) {
@@ -259,7 +284,8 @@
   auto [Status, Text] = run(Method, Target, Body);
   // Drops the answer to a change whenever the revision is divisible by three,
   // although the change has taken effect.
-  if (Mode == StoreMode::DropResponses && Method == "POST" && Revision % 3 == 0)
+  if (Mode == StoreMode::DropResponses && Method == "POST" &&
+      Now.Revision % 3 == 0)
     return;
   runAfter(Loop, Mode == StoreMode::Slow ? SlowResponseTime : ResponseTime,
            [Status = Status, Text = Text, Done = std::move(Done)] {
--- a/tests/soak/keyvaluestore.h
+++ b/tests/soak/keyvaluestore.h
@@ -35,6 +35,16 @@
   void erase(const std::string &Key);
   /// Ends expired leases and removes their keys.
   void expire();
+
+  /// Keeps what the store has now, to come back from it later.
+  void takeCopy() { Copy = Now; }
+  /// Answers nothing and changes nothing until it comes back.
+  void goAway() { Away = true; }
+  /// Comes back from the copy in a new era: what was written since is lost, and
+  /// its revisions are given out again.
+  void returnFromCopy();
+  bool away() const { return Away; }
+  unsigned era() const { return Era; }
   /// Handles a request. \p Done gets the HTTP status and the body. If the
   /// request gets no answer, \p Done is not called or gets status 0.
   void handle(std::size_t Proxy, const std::string &Method,
@@ -47,13 +57,15 @@
   unsigned hangCount(std::size_t Proxy) { return HangCounts[Proxy]; }
 
   StoreMode Mode = StoreMode::Normal;
+  /// Answers name the era of the store.
+  bool NamesEra = true;
   /// Proxies whose requests, except promotion calls, the store never answers.
   std::set<std::size_t> PartitionedProxies;
   /// Proxies whose requests, except promotion calls, the store refuses at once
   /// with status 503.
   std::set<std::size_t> RejectedProxies;
-  /// Fencing tokens in the order in which requests carried them.
-  std::vector<std::uint64_t> Tokens;
+  /// Notes the fencing token and the holder of the promotion lock in a request.
+  void addToken(std::uint64_t Token, const std::string &Holder);
   /// Violations by callers of the promotion call.
   std::vector<std::string> Problems;
 
@@ -64,6 +76,13 @@
     std::uint64_t Created = 0;
     std::uint64_t LeaseId = 0;
   };
+  /// What a copy of the store contains.
+  struct Content {
+    std::map<std::string, Item> Items;
+    std::uint64_t Revision = 10;
+    std::uint64_t NextLease = 1;
+    std::map<std::uint64_t, std::pair<Instant, Duration>> Leases;
+  };
   void accept(std::size_t Proxy);
   std::string itemText(const std::string &Key, const Item &I) const;
   std::pair<unsigned, std::string> transact(const std::string &Body);
@@ -78,11 +97,14 @@
   io_context &Loop;
   Promotion Promote;
   std::vector<std::unique_ptr<platform::tcp::acceptor>> Acceptors;
-  std::map<std::string, Item> Items;
-  std::uint64_t Revision = 10;
-  std::uint64_t NextLease = 1;
+  Content Now;
+  Content Copy;
+  bool Away = false;
+  unsigned Era = 1;
+  /// Fencing tokens of the promotion calls, in order.
+  std::vector<std::uint64_t> Tokens;
+  std::map<std::uint64_t, std::string> HolderOfToken;
   std::map<std::size_t, unsigned> HangCounts;
-  std::map<std::uint64_t, std::pair<Instant, Duration>> Leases;
 };
 
 } // namespace eelgrassloom::soak
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -5,7 +5,9 @@
 /// fault that the checks must report (promotion, rules, rows, texts, values),
 /// or takes the place of the random faults: stops, orderly stops of one proxy
 /// after the other. With customers, the random faults come while keys of
-/// customers change (planted faults: wrong-customer, low-limit, kept-key).
+/// customers change (planted faults: wrong-customer, low-limit, kept-key). With
+/// drills, they come while the store comes back from copies (planted fault:
+/// unnamed-era).
 
 #include "soak.h"
 #include <algorithm>
@@ -33,6 +35,8 @@
 /// Time bounds are checked only for a proxy and a store that have been without
 /// a fault for this long.
 constexpr Duration RecoveryTime = 4s;
+/// Pause of the operator before it tries again to reach the store.
+constexpr Duration AwayPause = 100ms;
 /// Interval between probes of the configuration.
 constexpr Duration ProbeInterval = 20ms;
 /// Time that a request takes at a server during orderly stops: long, so that a
@@ -124,6 +128,10 @@
 void Soak::changeConfig() {
   if (!FaultsEnabled)
     return;
+  if (Store.away()) {
+    runAfter(Loop, AwayPause, [this] { changeConfig(); });
+    return;
+  }
   ++ConfigVersion;
   ProbedDatabases.add(now());
   if (usesCustomers()) {
@@ -149,7 +157,8 @@
         ReachedByHealthyProxy ||
         (isHealthy(Proxies[I]) && Store.PartitionedProxies.count(I) == 0 &&
          Store.RejectedProxies.count(I) == 0);
-  if (!ReachedByHealthyProxy || Store.Mode != StoreMode::Normal)
+  bool Returning = Store.away() || now() < ConfigRewrittenAt;
+  if (!ReachedByHealthyProxy || Returning || Store.Mode != StoreMode::Normal)
     StoreHealthySince = now();
 }
 
@@ -318,6 +327,8 @@
   Group.replicate();
   Store.expire();
   for (const ServerRef &S : Group.Members) {
+    if (now() < ServersRewrittenAt)
+      break;
     if (S->Up)
       Store.put("servers/" + S->Id, S->entry());
     else
@@ -354,6 +365,7 @@
       S->Slots = FewSlots;
   if (usesCustomers())
     setCustomers();
+  Store.NamesEra = Injected != InjectedFault::UnnamedEra;
   prepare();
   for (Proxy &P : Proxies)
     startProxy(P);
@@ -371,11 +383,13 @@
     FaultsEnabled = Injected != InjectedFault::Promotion;
     if (Injected == InjectedFault::Promotion)
       Group.promote("i-b");
-    if (Injected == InjectedFault::None ||
+    if (Injected == InjectedFault::None || Injected == InjectedFault::Drills ||
         Injected == InjectedFault::Customers) {
       injectFault();
       repeatAnswers();
     }
+    if (usesDrills())
+      drill();
     if (Injected == InjectedFault::Stops) {
       for (const ServerRef &S : Group.Members)
         S->StatementTime = SlowStatementTime;
@@ -424,9 +438,9 @@
   for (std::size_t I = 0; I < Remaining.size() && I < 20; ++I)
     std::printf("  %s %s\n", Remaining[I].Kind.c_str(),
                 Remaining[I].Text.c_str());
-  bool MustReport = Injected != InjectedFault::None &&
-                    Injected != InjectedFault::Stops &&
-                    Injected != InjectedFault::Customers;
+  bool MustReport =
+      Injected != InjectedFault::None && Injected != InjectedFault::Stops &&
+      Injected != InjectedFault::Drills && Injected != InjectedFault::Customers;
   std::string_view Kind = reportedKind(Injected);
   bool Reported =
       std::any_of(Remaining.begin(), Remaining.end(), [&](const Violation &V) {
@@ -448,8 +462,8 @@
   if (Argc < 3) {
     std::fprintf(stderr,
                  "usage: %s PROGRAM SEED [SECONDS [PROXIES "
-                 "[promotion|rules|stops|rows|texts|values|customers|"
-                 "wrong-customer|low-limit|kept-key]]]\n",
+                 "[promotion|rules|stops|drills|unnamed-era|rows|texts|values|"
+                 "customers|wrong-customer|low-limit|kept-key]]]\n",
                  Argv[0]);
     return 2;
   }
@@ -460,10 +474,10 @@
   auto Name = std::find(InjectedFaultNames.begin(), InjectedFaultNames.end(),
                         FaultName);
   if (Name == InjectedFaultNames.end()) {
-    std::fprintf(
-        stderr,
-        "the injected fault must be promotion, rules, stops, rows, texts, "
-        "values, customers, wrong-customer, low-limit or kept-key\n");
+    std::fprintf(stderr,
+                 "the injected fault must be promotion, rules, stops, drills, "
+                 "unnamed-era, rows, texts, values, customers, wrong-customer, "
+                 "low-limit or kept-key\n");
     return 2;
   }
   if (Seconds <= 0 || Count <= 0) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -19,14 +19,18 @@
 /// and Config (a configuration that is changed but not stored) can't be
 /// prevented by proxies and show that the checks report them. Stops are planned
 /// work: orderly stops of one proxy after the other. Customers are random
-/// faults while keys of customers change. KeptKey (keys are not removed
-/// although the checks are told so) and the others are faults of the stand-ins
-/// and checks, see PlantedFault.
+/// faults while keys of customers change. Drills are random faults while the
+/// store comes back from copies. UnnamedEra is only the latter, with a store
+/// that does not name its era, so that no proxy can know. KeptKey (keys are not
+/// removed although the checks are told so) and the others are faults of the
+/// stand-ins and checks, see PlantedFault.
 enum class InjectedFault : std::uint8_t {
   None,
   Promotion,
   Config,
   Stops,
+  Drills,
+  UnnamedEra,
   Rows,
   Texts,
   Values,
@@ -35,9 +39,10 @@
   LowLimit,
   KeptKey,
 };
-constexpr std::array<std::string_view, 11> InjectedFaultNames = {
-    "none",   "promotion", "rules",          "stops",     "rows",    "texts",
-    "values", "customers", "wrong-customer", "low-limit", "kept-key"};
+constexpr std::array<std::string_view, 13> InjectedFaultNames = {
+    "none",           "promotion", "rules",   "stops",  "drills",
+    "unnamed-era",    "rows",      "texts",   "values", "customers",
+    "wrong-customer", "low-limit", "kept-key"};
 
 /// One proxy process. Signals are sent only to its own process id.
 struct Proxy {
@@ -96,6 +101,13 @@
   void stopProxies(std::size_t Next);
   void injectServerFault(Server &S);
   void injectStoreFault();
+  bool usesDrills() const {
+    return Injected == InjectedFault::Drills ||
+           Injected == InjectedFault::UnnamedEra;
+  }
+  /// Lets the store come back from a copy, again and again.
+  void drill();
+  void returnFromCopy();
   /// Lets one server after the other repeat answers for a time.
   void repeatAnswers();
   void heal();
@@ -126,6 +138,10 @@
   /// The list of customers in the configuration, as JSON.
   std::string PublishedCustomers;
   bool FaultsEnabled = false;
+  /// After a return of the store, the operator and the servers write again what
+  /// it has lost, at these times.
+  Instant ConfigRewrittenAt;
+  Instant ServersRewrittenAt;
 };
 
 } // namespace eelgrassloom::soak
