Keep the lease of a proxy that can't read the new era of the store

What callers saw: nothing yet; found by reading the diff, and shown by a test. A proxy that had lost only the store lost its primary lease after a drill, while its poller reached the store.

Cause: answers of the poller in the new era gave no leases any more, rightly, but they still counted as polls in time, so that the proxy did not ask a quorum of peers.

Change: a relayed poll of another era doesn't count as a poll.

Measured: the new case of storeera-test.cpp lost the lease of one proxy (5 of 6) before and keeps all six for 10 s now, for a poller and for another proxy.

--- a/packages/control/src/relayedpoll.cpp
+++ b/packages/control/src/relayedpoll.cpp
@@ -65,14 +65,15 @@
 /// also extend the leases of this proxy for the same epochs.
 void Coordinator::handleRelayedPoll(const RelayedPoll &Poll) {
   const PeerMessage &Answer = Poll.Answer;
+  // A poll in another era says nothing about what this proxy knows.
+  bool SameEra = Answer.Era == 0 || Answer.Era == Era;
   if (Poll.FromPoller)
-    RelayedPollAge = Answer.PollAge;
+    RelayedPollAge = SameEra ? Answer.PollAge : Duration::max();
   // What the other proxy has read from the store may be lost.
-  if (Answer.Era != 0 && Answer.Era < Era)
+  if (!SameEra && Answer.Era < Era)
     return;
   // The registration of this proxy, and records that it knows, may be lost.
-  bool NewEra = Answer.Era > Era;
-  if (NewEra && StoreReachable) {
+  if (!SameEra && StoreReachable) {
     NextPoll = std::min(NextPoll, now() + jitter(Options.PollRetry));
     return;
   }
@@ -83,7 +84,7 @@
                                !StoreReachable);
   Servers->handlePeerRevision(Answer.From, Address, Answer.ServersRevision,
                               Answer.ServersDigest);
-  if (!registered() || Leaving || NewEra)
+  if (!registered() || Leaving || !SameEra)
     return;
   // The answering proxy computed the age after the request was sent, so its
   // poll began at this time or later.
--- a/packages/control/test/storeera-test.cpp
+++ b/packages/control/test/storeera-test.cpp
@@ -233,6 +233,25 @@
         CHECK(E.Draining);
 }
 
+// Guards against a proxy that waits for its poller, which is in an era that this
+// proxy can't read anything of, in place of asking a quorum of peers.
+TEST_CASE("a proxy that only lost the store keeps its lease over a return") {
+  for (bool PollerLost : {false, true}) {
+    EraFleet F;
+    std::size_t Lost = 0;
+    while (F.proxy(Lost).PeerProxies->isPoller() != PollerLost)
+      ++Lost;
+    F.Keys.takeCopy();
+    F.Keys.PartitionedProxies.insert(F.proxy(Lost).Id);
+    F.advance(2s);
+    F.drill();
+    for (int I = 0; I < 100; ++I) {
+      F.advance(100ms);
+      REQUIRE(F.liveLeases() == ProxyCount);
+    }
+  }
+}
+
 // Guards against one fault of the store that hides another one.
 TEST_CASE("the store may come back from copies in series") {
   EraFleet F;
