Move the options of the coordinator to a header of their own

Change: a move without changes (coordinatoroptions.h and .cpp), and a name that says what it means in tick().

--- a/packages/control/src/coordinator.cpp
+++ b/packages/control/src/coordinator.cpp
@@ -7,17 +7,6 @@
 namespace eelgrassloom {
 namespace detail {
 
-/// Polls per configuration apply time, so that one poll may be lost and
-/// repeated within it.
-constexpr int PollsPerApplyTime = 3;
-/// Upper limit of the poll interval. A longer interval makes promotions slower,
-/// because primary leases get longer with it and a promotion waits until those
-/// of partitioned proxies have expired.
-constexpr Duration MaxPollInterval = std::chrono::milliseconds(500);
-/// Added to two poll intervals, so that one slow answer does not end a primary
-/// lease.
-constexpr Duration LeaseSlack = std::chrono::milliseconds(200);
-
 /// Entries of a poll besides its conditions.
 constexpr std::size_t HeartbeatEntries = 1;
 
@@ -68,14 +57,6 @@
       std::move(Promote), std::move(Probe), Options));
 }
 
-CoordinatorOptions coordinatorOptions(Duration ConfigApplyTime) {
-  CoordinatorOptions O;
-  O.PollInterval = std::min<Duration>(
-      ConfigApplyTime / detail::PollsPerApplyTime, detail::MaxPollInterval);
-  O.LeaseDuration = 2 * O.PollInterval + detail::LeaseSlack;
-  return O;
-}
-
 void Coordinator::attach(Peers &Registered, std::string Address,
                          std::string FailureDomain, PeerDialer ToProxies,
                          unsigned MilliCores) {
@@ -144,8 +125,8 @@
   bool Overdue = pollOverdue();
   // While the poller extends the primary leases, only the poller requests a
   // quorum extension from all peers.
-  bool NoLeases = Overdue || awaitsConfirmation();
-  PeerProxies->tick(Overdue, NoLeases && !polledByOthers());
+  bool PollsGiveNoLeases = Overdue || awaitsConfirmation();
+  PeerProxies->tick(Overdue, PollsGiveNoLeases && !polledByOthers());
   updateIsolation();
 }
 
