--- a/packages/control/test/storeera-test.cpp
+++ b/packages/control/test/storeera-test.cpp
@@ -233,8 +233,8 @@
         CHECK(E.Draining);
 }
 
-// Guards against a proxy that waits for its poller, which is in an era that this
-// proxy can't read anything of, in place of asking a quorum of peers.
+// Guards against a proxy that waits for its poller, which is in an era that
+// this proxy can't read anything of, in place of asking a quorum of peers.
 TEST_CASE("a proxy that only lost the store keeps its lease over a return") {
   for (bool PollerLost : {false, true}) {
     EraFleet F;
