A write that may have run looks for an owner without the retry budget

What callers saw: a write that was in progress when its proxy began to drain was answered UNKNOWN (CONNECTION_LOST) 150 ms later, with 8 s of its deadline left.

Cause: the draining proxy names the next owner at once, but that proxy answers that it owns nothing until it has heard of the drain. Each time it was asked (every 20 ms) took a token of the retry budget; the last token was gone before it had heard.

Evidence: with events of level debug (GLOG_v=1), two failures in 48 runs, eight at a time: the third attempt ends within 13 ms of the start of the drain, seven answers of a proxy that does not own the upstream follow, then the budget is empty. Ruled out: a lost connection to the upstream, and the end of the drain.

Change: after an attempt that reached no upstream, a write that may have run takes no token and is routed again until its deadline; only another attempt can tell whether it ran. Requests that surely have not run are refused as before.

--- a/packages/engine/src/groupqueue.cpp
+++ b/packages/engine/src/groupqueue.cpp
@@ -345,8 +345,8 @@
   if (!A || (!Waiting.empty() && A->Pool->AppliedAt >= A->SentAt) ||
       mayRetry(HedgeBudget,
                {AttemptOutcome::NoAnswer, false, false, false, false,
-                J->Arrived + J->Route.StatementTimeout - Now,
-                Duration::zero()}) != RetryDecision::Retry)
+                J->Arrived + J->Route.StatementTimeout - Now, Duration::zero(),
+                false}) != RetryDecision::Retry)
     return;
   A->Pool->exchangeTimedOut(A->SentAt);
   J->Excluded.push_back(A->Pool->server().Id);
--- a/packages/kernel/include/kernel/retry.h
+++ b/packages/kernel/include/kernel/retry.h
@@ -29,6 +29,8 @@
 enum class AttemptOutcome : std::uint8_t {
   /// The request was never written to a connection.
   NotSent,
+  /// The proxy that was asked does not own the upstream, so it sent nothing.
+  NotOwner,
   /// The upstream or the owner answered that the request did not run.
   NotRun,
   /// There was no answer, so the request may have run.
@@ -51,6 +53,8 @@
   Duration Remaining{0};
   /// Expected time of an attempt.
   Duration ExpectedAttempt{0};
+  /// An earlier attempt of the write may have run.
+  bool MayHaveRun = false;
 };
 
 /// Whether to retry, or why not.
@@ -66,8 +70,8 @@
   NoBudget,
 };
 
-/// Decides whether to retry. Takes a token from the budget if, and only if, the
-/// decision is Retry.
+/// Decides whether to retry. A retry takes a token from the budget, except that
+/// of a write that may have run, after an attempt that reached no upstream.
 RetryDecision mayRetry(RetryBudget &B, const RetryContext &C);
 
 } // namespace eelgrassloom
--- a/packages/kernel/test/retry-test.cpp
+++ b/packages/kernel/test/retry-test.cpp
@@ -49,8 +49,9 @@
 TEST_CASE("a non-idempotent write is repeated only if it was never sent") {
   CHECK(rc::check([] {
     RetryContext C = context(
-        *rc::gen::element(AttemptOutcome::NotSent, AttemptOutcome::NotRun,
-                          AttemptOutcome::NoAnswer, AttemptOutcome::Answered),
+        *rc::gen::element(AttemptOutcome::NotSent, AttemptOutcome::NotOwner,
+                          AttemptOutcome::NotRun, AttemptOutcome::NoAnswer,
+                          AttemptOutcome::Answered),
         true);
     C.NonIdempotent = true;
     C.HasRequestId = *rc::gen::arbitrary<bool>();
@@ -86,3 +87,21 @@
   CHECK(mayRetry(None, context(AttemptOutcome::NotRun, false)) ==
         RetryDecision::NoBudget);
 }
+
+// Guards against a write that is answered as unknown because asking for the
+// owner of its upstream used up the budget, and against an empty budget that
+// lets other requests ask on.
+TEST_CASE("a write that may have run asks for an owner without the budget") {
+  RetryBudget Empty = makeRetryBudget(0);
+  for (auto End : {AttemptOutcome::NotSent, AttemptOutcome::NotOwner}) {
+    RetryContext C = context(End, true);
+    CHECK(mayRetry(Empty, C) == RetryDecision::NoBudget);
+    C.MayHaveRun = true;
+    CHECK(mayRetry(Empty, C) == RetryDecision::Retry);
+    C.Remaining = C.ExpectedAttempt;
+    CHECK(mayRetry(Empty, C) == RetryDecision::NoTime);
+  }
+  RetryContext Sent = context(AttemptOutcome::NotRun, true);
+  Sent.MayHaveRun = true;
+  CHECK(mayRetry(Empty, Sent) == RetryDecision::NoBudget);
+}
--- a/packages/proxy/src/requestattempts.cpp
+++ b/packages/proxy/src/requestattempts.cpp
@@ -128,8 +128,8 @@
     }
     bool SnapshotOutdated = F.not_owner() || A.reason() == REASON_NO_PRIMARY ||
                             A.reason() == REASON_UPSTREAM_UNAVAILABLE;
-    retry(C, AttemptOutcome::NotRun, A, true,
-          SnapshotOutdated ? SnapshotUpdateDelay : Duration::zero());
+    retry(C, F.not_owner() ? AttemptOutcome::NotOwner : AttemptOutcome::NotRun,
+          A, true, SnapshotOutdated ? SnapshotUpdateDelay : Duration::zero());
     return;
   }
   case OUTCOME_UNKNOWN:
@@ -187,6 +187,7 @@
   Context.ExpectedAttempt = DefaultAttemptTime;
   if (C->write() && LastOutcome == AttemptOutcome::NoAnswer)
     C->MayHaveRun = Otherwise;
+  Context.MayHaveRun = C->MayHaveRun.has_value();
   bool Sent = LastOutcome != AttemptOutcome::NotSent;
   // A non-idempotent request is sent to an owner at most once, whatever the
   // answer.
--- a/packages/proxy/test/fakes-test.cpp
+++ b/packages/proxy/test/fakes-test.cpp
@@ -314,13 +314,17 @@
 }
 
 void DataPathFixture::publish() {
-  for (auto &[Id, P] : Proxies) {
-    auto S = std::make_shared<Snapshot>(*State);
-    for (auto &[Upstream, Owner] : S->Owners)
-      Owner.Address = Owner.Owner == Id ? "" : Owner.Owner + ":9";
-    P.Snapshots->store(S);
-    P.Path->snapshotChanged();
-  }
+  for (const auto &[Id, P] : Proxies)
+    publishTo(Id);
+}
+
+void DataPathFixture::publishTo(const ProxyId &Id) {
+  Proxy &P = Proxies.at(Id);
+  auto S = std::make_shared<Snapshot>(*State);
+  for (auto &[Upstream, Owner] : S->Owners)
+    Owner.Address = Owner.Owner == Id ? "" : Owner.Owner + ":9";
+  P.Snapshots->store(S);
+  P.Path->snapshotChanged();
   Databases.Timers->runDue();
 }
 
--- a/packages/proxy/test/fakes.h
+++ b/packages/proxy/test/fakes.h
@@ -151,6 +151,8 @@
   }
   /// Publishes State to all proxies.
   void publish();
+  /// Publishes State to one proxy; the others keep what they know.
+  void publishTo(const ProxyId &Id);
   /// Advances the clock in steps of 1 ms and runs the timers.
   void advance(Duration D);
   /// Starts a request; the result is set once the answer is there.
--- a/packages/proxy/test/stop-test.cpp
+++ b/packages/proxy/test/stop-test.cpp
@@ -49,3 +49,43 @@
   F.advance(std::chrono::seconds(2));
   CHECK(F.upstream("a").executed("w1") == 0);
 }
+
+// Guards against a write that is answered as unknown although its deadline
+// leaves time for its answer: while the next owner of its upstream did not know
+// yet that it owns it, asking it used up the retry budget (CI of 2026-12-07).
+TEST_CASE("a write that may have run outlasts the hand-over of its upstream") {
+  DataPathFixture F({{"a", "p1"}, {"b", "p2"}, {"c", "p2"}});
+  F.upstream("a").Unresponsive = true;
+  RunRequest Write = F.write("w1");
+  Write.set_non_idempotent(false);
+  Write.set_deadline_ms(5000);
+  auto Answer = F.start("p1", Write);
+  F.advance(milliseconds(350)); // The first attempt has timed out.
+  F.State->Owners["a"] = {"p2", ""};
+  F.publishTo("p1");
+  F.advance(milliseconds(1000)); // The second one too.
+  REQUIRE_FALSE(Answer->has_value());
+  F.upstream("a").Unresponsive = false;
+  F.publish();
+  F.advance(milliseconds(200));
+  REQUIRE(Answer->has_value());
+  CHECK((*Answer)->outcome() == OUTCOME_OK);
+  CHECK((*Answer)->recorded());
+  CHECK(F.upstream("a").logged("w1") == 1);
+}
+
+// Guards against a wait for the next owner beyond the deadline of the caller.
+TEST_CASE("a write that may have run is unknown if its upstream has no owner") {
+  DataPathFixture F({{"a", "p1"}, {"b", "p2"}, {"c", "p2"}});
+  F.upstream("a").Unresponsive = true;
+  RunRequest Write = F.write("w1");
+  Write.set_non_idempotent(false);
+  auto Answer = F.start("p1", Write);
+  F.advance(milliseconds(350));
+  F.State->Owners["a"] = {"p2", ""};
+  F.publishTo("p1");
+  F.advance(milliseconds(1650)); // Its deadline passes.
+  REQUIRE(Answer->has_value());
+  CHECK((*Answer)->outcome() == OUTCOME_UNKNOWN);
+  CHECK((*Answer)->reason() == REASON_CONNECTION_LOST);
+}
