Split the tests of callers' connections and of customers by subject

Change: moved, nothing else: callerserver-test, customerlimits-test and restingtransaction-test, with their fixtures in headers (proxywithcallers.h, customerfixture.h).

Measured: engine-tests 147 cases and 102,570 assertions, platform-tests 82 and 27,146, the same as before, all passed.

--- a/packages/engine/test/customers-test.cpp
+++ b/packages/engine/test/customers-test.cpp
@@ -1,4 +1,6 @@
-#include "proxypair.h"
+// Keys of customers, and connections that belong to one of them.
+
+#include "customerfixture.h"
 #include <algorithm>
 #include <doctest/doctest.h>
 
@@ -6,52 +8,6 @@
 using namespace eelgrassloom::test;
 using namespace std::chrono_literals;
 
-namespace {
-
-const Statement Begin = simple(StatementKind::Begin, "BEGIN");
-const Statement Commit = simple(StatementKind::Commit, "COMMIT");
-const Statement Rollback = simple(StatementKind::Rollback, "ROLLBACK");
-
-/// Applies a configuration with these customers and the routes of the fixture.
-void setCustomers(EngineFixture &F, std::vector<CustomerConfig> Customers,
-                  Duration Settle = 0ms) {
-  RoutingConfig Config = F.SessionEngine->config();
-  ++Config.Version;
-  Config.Customers = makeCustomerTable(std::move(Customers)).value();
-  REQUIRE(F.SessionEngine->applyConfig(Config));
-  F.advance(Settle);
-  F.renewLeaseFor(60s);
-}
-
-void setNorthAndSouth(EngineFixture &F) {
-  // After that time an owner has its whole share of the connections.
-  setCustomers(F, {{"north", {"kn"}, {}}, {"south", {"ks"}, {}}}, 10s);
-}
-
-/// A limiter that admits the given number of operations.
-struct CountingLimiter {
-  explicit CountingLimiter(EngineFixture &F, unsigned Admit) : Left(Admit) {
-    F.SessionEngine->setLimiter({[this](const CustomerId &, auto Done) {
-                                   ++Asked;
-                                   if (Deferred)
-                                     Pending.push_back(Done);
-                                   else if (Left == 0)
-                                     Done({false, 300ms});
-                                   else
-                                     Done({true, (--Left, 0ms)});
-                                 },
-                                 [this](const CustomerId &) { ++GivenBack; }});
-  }
-
-  unsigned Left;
-  unsigned Asked = 0;
-  unsigned GivenBack = 0;
-  bool Deferred = false;
-  std::vector<std::function<void(OperationPermit)>> Pending;
-};
-
-} // namespace
-
 TEST_CASE("a session with an unknown key is not opened") {
   EngineFixture F;
   setNorthAndSouth(F);
@@ -273,71 +229,6 @@
   CHECK(P.Owner.server("p").count("READ b") == 0);
 }
 
-TEST_CASE("a limit refuses the operations beyond it and not their statements") {
-  EngineFixture F;
-  setNorthAndSouth(F);
-  CountingLimiter Limiter(F, 1);
-  auto S = F.open("latest", "kn");
-  S->submit(Begin);
-  S->submit(write("a"));
-  S->submit(write("b"));
-  S->submit(Commit);
-  F.advance(100ms);
-  CHECK(Limiter.Asked == 1);
-  CHECK(F.last().Signature == "sig");
-  S->submit(read("c"));
-  F.advance(100ms);
-  CHECK(F.last().Error == ReplyCode::Busy);
-  CHECK(F.last().ErrorText.ends_with("retry after 300 ms"));
-  CHECK(F.server("p").count("READ c") == 0);
-}
-
-// Guards against permissions that are lost with operations that did not run.
-TEST_CASE("an operation that did not run returns its permission") {
-  EngineFixture F;
-  setNorthAndSouth(F);
-  CountingLimiter Limiter(F, 5);
-  F.server("p").RefusesConnections = true;
-  F.open("latest", "kn")->submit(read("a"));
-  F.advance(3s);
-  REQUIRE(F.last().Error == ReplyCode::Busy);
-  CHECK(Limiter.GivenBack == 1);
-}
-
-// Guards against a statement that runs for a caller that has left while its
-// operation waited for permission.
-TEST_CASE("a caller that leaves before the permission runs nothing") {
-  EngineFixture F;
-  setNorthAndSouth(F);
-  CountingLimiter Limiter(F, 5);
-  Limiter.Deferred = true;
-  auto S = F.open("latest", "kn");
-  S->submit(read("a"));
-  S->close(SessionEnd::CallerLeft);
-  REQUIRE(Limiter.Pending.size() == 1);
-  Limiter.Pending.front()({true, {}});
-  F.advance(100ms);
-  CHECK(F.server("p").count("READ a") == 0);
-  CHECK(Limiter.GivenBack == 1);
-}
-
-// Guards against a statement that runs because its key was removed while its
-// operation waited for permission.
-TEST_CASE("a key that is removed before the permission runs nothing") {
-  EngineFixture F;
-  setNorthAndSouth(F);
-  CountingLimiter Limiter(F, 5);
-  Limiter.Deferred = true;
-  F.open("latest", "kn")->submit(read("a"));
-  REQUIRE(Limiter.Pending.size() == 1);
-  setCustomers(F, {{"south", {"ks"}, {}}});
-  Limiter.Pending.front()({true, {}});
-  F.advance(100ms);
-  REQUIRE(F.Replies.size() == 1);
-  CHECK(F.last().Error == ReplyCode::NotAuthorized);
-  CHECK(F.server("p").count("READ a") == 0);
-}
-
 // Guards against a statement that is sent again after its key was removed: a
 // server had refused it as overloaded before.
 TEST_CASE("a statement is not retried with a key that was removed") {
@@ -430,23 +321,6 @@
   CHECK(F.server("p").count("ROLLBACK") == 1);
 }
 
-// Guards against operations beyond the limit: a permission was returned
-// although a server had received the operation through the owner.
-TEST_CASE("an operation that reached a server keeps its permission") {
-  ProxyPair P;
-  setNorthAndSouth(P.Entry);
-  setNorthAndSouth(P.Owner);
-  CountingLimiter Limiter(P.Entry, 5);
-  ServerReply Busy;
-  Busy.Error = ReplyCode::Busy;
-  P.Owner.server("p").Answers["READ a"] = Busy;
-  P.Entry.open("latest", "kn")->submit(read("a"));
-  P.advance(3s);
-  REQUIRE(P.Owner.server("p").count("READ a") != 0);
-  REQUIRE(P.Entry.last().Error == ReplyCode::Busy);
-  CHECK(Limiter.GivenBack == 0);
-}
-
 // Load: one customer that fills the queue. Guards against another that waits
 // behind it, and against server time that is not counted.
 TEST_CASE("a customer that has used more server time waits behind another") {
@@ -474,125 +348,3 @@
       Order.push_back(Call.Id);
   CHECK(Order == std::vector<std::string>{"s1", "n1", "n2"});
 }
-
-namespace {
-
-/// Connections to a server that the proxy of the fixture may open.
-constexpr std::size_t ConnectionShare = 9;
-
-/// Opens a transaction with one write for each connection to the primary.
-template <typename Advance>
-std::vector<std::shared_ptr<Session>> fillWithTransactions(EngineFixture &F,
-                                                           Advance Wait) {
-  std::vector<std::shared_ptr<Session>> Sessions;
-  for (std::size_t I = 0; I < ConnectionShare; ++I) {
-    Sessions.push_back(F.open("latest", "kn"));
-    Sessions.back()->submit(Begin);
-    Sessions.back()->submit(write("t" + std::to_string(I)));
-    Wait(20ms);
-    REQUIRE(F.last().Signature == "sig");
-  }
-  return Sessions;
-}
-
-/// Sends a write and a commit in each session. Returns the number of
-/// transactions that were answered ABORTED, and checks that those were ended
-/// as a whole.
-template <typename Advance>
-std::size_t commitAll(EngineFixture &F, FakeServer &Primary, Advance Wait,
-                      std::vector<std::shared_ptr<Session>> &Sessions) {
-  std::size_t Aborted = 0;
-  for (std::size_t I = 0; I < Sessions.size(); ++I) {
-    std::string Id = "u" + std::to_string(I);
-    std::size_t Commits = Primary.count("COMMIT");
-    Sessions[I]->submit(write(Id));
-    Wait(20ms);
-    bool Ended = F.last().Error == ReplyCode::Aborted;
-    Aborted += Ended ? 1 : 0;
-    CHECK(Primary.count("WRITE " + Id + " x") == (Ended ? 0 : 1));
-    Sessions[I]->submit(Commit);
-    Wait(20ms);
-    CHECK((F.last().Error == ReplyCode::Aborted) == Ended);
-    CHECK(F.last().State == TransactionState::None);
-    CHECK(Primary.count("COMMIT") == Commits + (Ended ? 0 : 1));
-  }
-  return Aborted;
-}
-
-} // namespace
-
-// Load: callers that stay idle inside transactions and hold all connections.
-// Guards against other customers that are refused until the idle timeout, and
-// against an ended transaction of which a part is kept.
-TEST_CASE("a transaction at rest is ended for another customer") {
-  EngineFixture F;
-  setNorthAndSouth(F);
-  auto Wait = [&](Duration D) { F.advance(D); };
-  auto Sessions = fillWithTransactions(F, Wait);
-  FakeServer &Primary = F.server("p");
-  F.advance(600ms);
-  std::size_t Answered = F.Replies.size();
-  SUBCASE("once it has rested for a second") {
-    F.open("latest", "ks")->submit(read("s"));
-    F.advance(100ms);
-    CHECK(F.Replies.size() == Answered);
-    CHECK(Primary.ClosedInTransaction == 0);
-    F.advance(200ms);
-    REQUIRE(F.Replies.size() == Answered + 1);
-    CHECK(F.last().Signature == "sig");
-    CHECK(Primary.ClosedInTransaction == 1);
-    CHECK(commitAll(F, Primary, Wait, Sessions) == 1);
-  }
-  // Guards against a statement of the large customer that takes the place.
-  SUBCASE("and its place goes to that customer") {
-    Primary.Dialed.clear();
-    F.open("latest", "kn")->submit(read("n"));
-    F.open("latest", "ks")->submit(read("s"));
-    F.advance(300ms);
-    REQUIRE(F.Replies.size() == Answered + 2);
-    CHECK(Primary.Dialed.front() == "south");
-    CHECK(Primary.ClosedInTransaction == 1);
-  }
-  SUBCASE("not for its own customer") {
-    F.open("latest", "kn")->submit(read("n"));
-    F.advance(500ms);
-    CHECK(F.Replies.size() == Answered);
-    CHECK(commitAll(F, Primary, Wait, Sessions) == 0);
-  }
-  SUBCASE("not while nobody waits") {
-    F.advance(900ms);
-    CHECK(commitAll(F, Primary, Wait, Sessions) == 0);
-  }
-  SUBCASE("not while a statement of it is in progress") {
-    Primary.Unresponsive = true;
-    for (const auto &S : Sessions)
-      S->submit(write("slow"));
-    F.open("latest", "ks")->submit(read("s"));
-    F.advance(500ms);
-    CHECK(Primary.ClosedInTransaction == 0);
-  }
-}
-
-// The same for transactions that another proxy holds. Guards against an owner
-// that considers only the sessions of its own callers.
-TEST_CASE("a forwarded transaction at rest is ended for another customer") {
-  ProxyPair P;
-  setNorthAndSouth(P.Entry);
-  setNorthAndSouth(P.Owner);
-  P.advance(500ms);
-  auto Wait = [&](Duration D) { P.advance(D); };
-  auto Sessions = fillWithTransactions(P.Entry, Wait);
-  FakeServer &Primary = P.Owner.server("p");
-  P.advance(600ms);
-  std::size_t Answered = P.Entry.Replies.size();
-  P.Entry.open("latest", "ks")->submit(read("s"));
-  P.advance(100ms);
-  CHECK(P.Entry.Replies.size() == Answered);
-  CHECK(Primary.ClosedInTransaction == 0);
-  P.advance(250ms);
-  REQUIRE(P.Entry.Replies.size() == Answered + 1);
-  CHECK(P.Entry.last().Signature == "sig");
-  CHECK(Primary.count("READ s") == 1);
-  CHECK(Primary.ClosedInTransaction == 1);
-  CHECK(commitAll(P.Entry, Primary, Wait, Sessions) == 1);
-}
