--- a/tests/soak/faults.cpp
+++ b/tests/soak/faults.cpp
@@ -12,6 +12,12 @@
 /// Time between two orderly stops.
 constexpr Duration StopInterval = 1500ms;
 
+/// Time that a store that does not name its era is away.
+constexpr Duration UnnamedAwayTime = 500ms;
+/// Time from its return to the end of the faults. The configuration changes in
+/// this time, with revisions that were given out before, and never again.
+constexpr Duration UnnamedReturnTime = 2500ms;
+
 } // namespace
 
 void Soak::injectProxyFault(Proxy &P) {
@@ -131,16 +137,27 @@
 void Soak::drill() {
   if (!FaultsEnabled)
     return;
-  Store.takeCopy();
-  logEvent("copy of the store");
   Duration CopyAge = std::chrono::milliseconds(500 + Random() % 4500);
   Duration AwayTime = std::chrono::milliseconds(200 + Random() % 1300);
-  runAfter(Loop, CopyAge, [this, AwayTime] {
+  loseChanges(CopyAge, AwayTime, [this] {
+    runAfter(Loop, std::chrono::milliseconds(1000 + Random() % 6000),
+             [this] { drill(); });
+  });
+}
+
+void Soak::loseChanges(Duration CopyAge, Duration AwayTime,
+                       const std::function<void()> &Returned) {
+  Store.takeCopy();
+  logEvent("copy of the store");
+  runAfter(Loop, CopyAge, [this, AwayTime, Returned] {
     if (!FaultsEnabled)
       return;
     logEvent("store away");
     Store.goAway();
-    runAfter(Loop, AwayTime, [this] { returnFromCopy(); });
+    runAfter(Loop, AwayTime, [this, Returned] {
+      returnFromCopy();
+      Returned();
+    });
   });
 }
 
@@ -150,8 +167,11 @@
   ServersRewrittenAt = now() + std::chrono::milliseconds(Random() % 2000);
   ConfigRewrittenAt = now() + std::chrono::milliseconds(Random() % 500);
   runAfter(Loop, ConfigRewrittenAt - now(), [this] { publishConfig(); });
-  runAfter(Loop, std::chrono::milliseconds(1000 + Random() % 6000),
-           [this] { drill(); });
+}
+
+void Soak::plantUnnamedEra(Duration Length) {
+  loseChanges(Length - UnnamedAwayTime - UnnamedReturnTime, UnnamedAwayTime,
+              [] {});
 }
 
 void Soak::repeatAnswers() {
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -81,6 +81,7 @@
   case InjectedFault::Promotion:
     return "STALE";
   case InjectedFault::Config:
+  case InjectedFault::UnnamedEra:
     return "CONFIG";
   case InjectedFault::Rows:
     return "MIXED";
@@ -378,7 +379,7 @@
         std::make_shared<Caller>(Loop, TestOracle, I, Ports, Seed * 1000));
     runAfter(Loop, 1s, [this, I] { Callers[I]->run(); });
   }
-  runAfter(Loop, WarmUp, [this] {
+  runAfter(Loop, WarmUp, [this, Length] {
     // An injected fault comes without random faults.
     FaultsEnabled = Injected != InjectedFault::Promotion;
     if (Injected == InjectedFault::Promotion)
@@ -388,8 +389,10 @@
       injectFault();
       repeatAnswers();
     }
-    if (usesDrills())
+    if (Injected == InjectedFault::Drills)
       drill();
+    if (Injected == InjectedFault::UnnamedEra)
+      plantUnnamedEra(Length);
     if (Injected == InjectedFault::Stops) {
       for (const ServerRef &S : Group.Members)
         S->StatementTime = SlowStatementTime;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -20,8 +20,8 @@
 /// prevented by proxies and show that the checks report them. Stops are planned
 /// work: orderly stops of one proxy after the other. Customers are random
 /// faults while keys of customers change. Drills are random faults while the
-/// store comes back from copies. UnnamedEra is only the latter, with a store
-/// that does not name its era, so that no proxy can know. KeptKey (keys are not
+/// store comes back from copies. UnnamedEra is one such return of a store that
+/// does not name its era, so that no proxy can know. KeptKey (keys are not
 /// removed although the checks are told so) and the others are faults of the
 /// stand-ins and checks, see PlantedFault.
 enum class InjectedFault : std::uint8_t {
@@ -101,12 +101,15 @@
   void stopProxies(std::size_t Next);
   void injectServerFault(Server &S);
   void injectStoreFault();
-  bool usesDrills() const {
-    return Injected == InjectedFault::Drills ||
-           Injected == InjectedFault::UnnamedEra;
-  }
   /// Lets the store come back from a copy, again and again.
   void drill();
+  /// Lets a store that does not name its era come back from a copy once, so
+  /// late that the change of the configuration that is lost is the last one.
+  void plantUnnamedEra(Duration Length);
+  /// Copies the store, and lets it come back from the copy after \p CopyAge and
+  /// \p AwayTime; then calls \p Returned. Not after the end of the faults.
+  void loseChanges(Duration CopyAge, Duration AwayTime,
+                   const std::function<void()> &Returned);
   void returnFromCopy();
   /// Lets one server after the other repeat answers for a time.
   void repeatAnswers();
